--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -9,9 +9,10 @@
 namespace {
 constexpr double kDrift = 0.001;  // both clocks may be off by 0.05%, in opposite directions
 constexpr Seconds kMargin = 0.5;  // a worker acts on the end of its lease within its own timers' steps
-constexpr Seconds kCommandTimeout = 2.0;
+constexpr Seconds kSoonest = 0.02;
+constexpr Seconds kProbeTimeout = 1.0;
 constexpr Seconds kResend = 1.0;
-constexpr std::size_t kOrdersPerCall = 200;  // far below the 64 KiB of a body
+constexpr double kLateReport = 1.3;    // reports are up to a quarter late
 
 void add(wire::Resources& to, const wire::Resources& n, double sign) {
   to.cpus += sign * n.cpus;
@@ -31,10 +32,13 @@
   team_use_.resize(settings.teams.size());
 }
 
+// ---------------------------------------------------------------- leadership
+
 void Agents::begin() {
   end();
   active_ = true;
-  cleared_ = false;
+  began_ = out_.now();
+  cleared_after_ = 0;
   // Whatever an earlier leader granted was granted before this moment.
   fence_until_ = lease_end();
 }
@@ -45,8 +49,17 @@
   active_ = false;
   ++term_;
   machines_.clear();
+  live_.clear();
+  silent_.clear();
   by_host_.clear();
-  dirty_.clear();
+  index_.clear();
+  stale_.clear();
+  orders_due_.clear();
+  tokens_due_.clear();
+  due_ = {};
+  doubts_.clear();
+  in_doubt_ = unsized_ = calls_ = 0;
+  doubt_sum_ = {};
   team_use_.assign(settings_.teams.size(), {});
 }
 
@@ -56,12 +69,14 @@
     if (catalog_.size() <= ix) catalog_.resize(ix + 1);
     catalog_[ix] = t;
   }
-  for (Machine& m : machines_) {
-    if (m.type < catalog_.size()) {
-      m.cpus = catalog_[m.type].cpus;
-      m.gpus = catalog_[m.type].gpus;
-      m.memory_gb = catalog_[m.type].memory_gb;
-    }
+  for (const Ix ix : live_) {
+    Machine& m = machines_[ix];
+    if (m.type >= catalog_.size()) continue;
+    m.cpus = catalog_[m.type].cpus;
+    m.gpus = catalog_[m.type].gpus;
+    m.memory_gb = catalog_[m.type].memory_gb;
+    account(m);
+    changed(m);
   }
 }
 
@@ -90,15 +105,31 @@
     m.memory_gb = catalog_[m.type].memory_gb;
   }
   by_host_.emplace(host, m.ix);
+  live_.push_back(m.ix);
   machines_.push_back(std::move(m));
   // Not in the roster, so no leader has ever sent it an order.
   machines_.back().settled = true;
   return machines_.back();
 }
 
-Machine& Agents::roster(const std::string& host, const wire::Value& record) {
-  Machine& m = learn(host, wire::text(record, "addr").value_or(""), wire::text(record, "type").value_or(""),
-                     wire::text(record, "zone").value_or(""), wire::flag(record, "spot").value_or(false));
+// What the next leader needs to know of a machine before it reports: where it is, and which images it has
+// seen, since a replica moved to a machine without its image is down for the whole fetch.
+wire::Value Agents::record(Ix ix) const {
+  const Machine& m = machines_[ix];
+  wire::Value images = wire::Value::array();
+  for (const auto& i : m.images) images.push_back(registry_.images[i.first]);
+  return {{"host", m.host},
+          {"addr", m.addr},
+          {"type", registry_.types[m.type]},
+          {"zone", registry_.zones[m.zone]},
+          {"spot", m.spot},
+          {"images", std::move(images)}};
+}
+
+Machine& Agents::roster(const wire::Value& record) {
+  const auto field = [&record](const char* key) { return wire::text(record, key).value_or(""); };
+  Machine& m = learn(field("host"), field("addr"), field("type"), field("zone"),
+                     wire::flag(record, "spot").value_or(false));
   m.enlisted = true;
   m.settled = false;
   if (const wire::Value* images = wire::find(record, "images"); images && images->is_array()) {
@@ -108,41 +139,52 @@
   }
   m.lease_until = fence_until_;
   m.last_contact = out_.now();
-  m.dirty = true;
-  dirty_.push_back(m.ix);
+  account(m);
+  want(m);
+  look_again(m, fence_until_);
   return m;
 }
 
-// What the next leader needs to know of a machine before it reports: where it is, and which images it has
-// seen, since a replica moved to a machine without its image is down for the whole fetch.
-wire::Value Agents::record(const Machine& m) const {
-  wire::Value images = wire::Value::array();
-  for (const auto& i : m.images) images.push_back(registry_.images[i.first]);
-  return {{"addr", m.addr},
-          {"type", registry_.types[m.type]},
-          {"zone", registry_.zones[m.zone]},
-          {"spot", m.spot},
-          {"images", std::move(images)}};
-}
-
 void Agents::enlist(Machine& m) {
   if (m.enlisted || m.enlisting || m.gone) return;
   m.enlisting = true;
-  ledger_.enlist(m.host, record(m), [this, ix = m.ix, term = term_] {
-    if (term != term_) return;
-    Machine& machine = machines_[ix];
-    machine.enlisted = true;
-    machine.enlisting = false;
-    if (machine.gone) return ledger_.delist(machine.host);
-    events_.up(machine);
-  });
+  ledger_.enlist(m.ix);
+}
+
+void Agents::enlisted(Ix ix) {
+  Machine& m = machines_[ix];
+  m.enlisted = true;
+  m.enlisting = false;
+  if (m.gone) return ledger_.delist(ix);
+  changed(m);
+  events_.up(m);
 }
 
 bool Agents::may_start(const Machine& m) const {
   return !m.gone && !m.returning && !m.draining && m.reporting && m.enlisted && m.settled && m.unknown == 0 &&
          m.health == Health::good && out_.now() >= m.doubt_until && !m.reclaim_at && m.cpus > 0 &&
-         !m.unreachable &&
-         out_.now() - m.last_contact < settings_.tunables.silent_reports * settings_.report_s;
+         !m.unreachable && silence(m) < silent_s();
+}
+
+void Agents::changed(Machine& m) {
+  if (m.stale) return;
+  m.stale = true;
+  stale_.push_back(m.ix);
+}
+
+void Agents::doubt_until(Machine& m, Seconds until) {
+  m.doubt_until = until;
+  changed(m);
+  look_again(m, until);
+}
+
+const Index& Agents::index() {
+  for (const Ix ix : std::exchange(stale_, {})) {
+    Machine& m = machines_[ix];
+    m.stale = false;
+    index_.update(m, may_start(m));
+  }
+  return index_;
 }
 
 // ---------------------------------------------------------------- what workers say
@@ -154,26 +196,33 @@
     return std::nullopt;
   }
   Machine& m = learn(r.host, r.addr, r.type, r.zone, r.spot);
-  if (m.gone) return std::nullopt;
-  // An older message than the newest one seen: its sender no longer waits for an answer.
-  if (m.reporting && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return std::nullopt;
+  if (m.gone || (m.reporting && r.session < m.session)) return std::nullopt;
+  // Overtaken by the worker's own answer to orders: there is nothing new in it, but its sender still waits, and
+  // would turn to another node.
+  if (m.reporting && r.session == m.session && r.seq <= m.seq) {
+    m.lease_until = lease_end();
+    return wire::report_answer(link_.token(), {});
+  }
   const bool fresh = !m.reporting;
   m.addr = r.addr;
-  apply(m, r);
+  apply(m, r, true);
   if (!active_) return std::nullopt;
   m.lease_until = lease_end();
   enlist(m);
   // Push the token of a new leadership at once: until then an earlier leader's orders could still take
-  // effect.
-  if (!m.settled || (fresh && r.token < link_.token())) {
-    m.dirty = true;
-    dirty_.push_back(m.ix);
+  // effect. One that just had an answer with it is given the time to say so in its next report.
+  if (!m.settled) {
+    m.pushed_at = out_.now();
+    look_again(m, out_.now() + kResend);
+  } else if (fresh && r.token < link_.token()) {
+    look_again(m, out_.now() + kResend);
   }
-  const bool by_answer = m.unreachable && m.settled && m.enlisted;
-  return wire::report_answer(link_.token(), by_answer ? orders(m, false) : std::vector<wire::Order>{});
+  if (!m.settled || !m.enlisted) return wire::report_answer(link_.token(), {});
+  prune(m);
+  return wire::report_answer(link_.token(), orders(m, false));
 }
 
-void Agents::apply(Machine& m, const wire::Report& r) {
+void Agents::apply(Machine& m, const wire::Report& r, bool beat) {
   const bool was_up = m.reporting;
   // Another session: everything of the earlier one was killed when that ended.
   if (m.reporting && r.session > m.session) end_session(m);
@@ -186,17 +235,27 @@
   m.seq = r.seq;
   m.last_contact = out_.now();
   m.reclaim_at = r.reclaim_in_s ? std::optional<Seconds>(out_.now() + *r.reclaim_in_s) : std::nullopt;
+  silent_.erase(m.ix);
+  if (!was_up) look_again(m, out_.now() + kLateReport * settings_.report_s);
 
   std::vector<bool> listed(m.slots.size(), false);
   const std::size_t known = m.slots.size();
   bool room = false;
   const std::uint64_t term = term_;
+  // A worker has one report under way at a time: this one says that it has acted on the answer to the one
+  // before, or never will.
+  if (beat) {
+    for (Slot& s : m.slots) s.in_answer_until = 0;
+  }
+  std::size_t hint = 0;  // reports list tasks in the order in which they came
   for (const wire::TaskReport& t : r.tasks) {
     std::size_t found = known;
-    for (std::size_t i = 0; i < known; ++i) {
+    for (std::size_t k = 0; k < known; ++k) {
+      const std::size_t i = (hint + k) % known;
       const Slot& s = m.slots[i];
       if (s.attempt != t.attempt || s.task != t.index || !s.of(t.ref)) continue;
       found = i;
+      hint = i + 1;
       break;
     }
     if (found == known) {
@@ -220,6 +279,7 @@
   } else {
     m.idle_since = 0;
   }
+  changed(m);
   // What ended makes room, and whoever hears of it starts tasks at once, here too: so not before the report
   // has been taken in whole. Told half-way, a start grew `slots` under the references in use above.
   for (const Slot& s : std::exchange(ended_, {})) {
@@ -251,15 +311,10 @@
   if (usable && (s.counted || t.cause == wire::Cause::done)) {
     s.job = job->ix;
     s.need = job->spec.need;
+    s.counted = true;  // of one that has exited, update() settles its end in one place
     registry_.place(*job, t.index, m.ix, m.zone);
-    if (s.counted) {
-      add(m.used, s.need, 1);
-      add(team_use_[job->team], s.need, 1);
-    } else {
-      s.counted = true;  // update() settles its end in one place
-      add(m.used, s.need, 1);
-      add(team_use_[job->team], s.need, 1);
-    }
+    add(m.used, s.need, 1);
+    add(team_use_[job->team], s.need, 1);
     m.slots.push_back(std::move(s));
     return update(m, m.slots.back(), t);
   }
@@ -268,14 +323,14 @@
     s.stop = true;
     ++m.unknown;
     if (over) spdlog::info("{} holds {} of a job that is over: stopping it", m.host, s.name);
-    recheck_clear();
+    account(m);
+    m.news = true;
+    want(m);
   } else {
     s.phase = Slot::Phase::exited;
     s.forget = true;
   }
   m.slots.push_back(std::move(s));
-  m.dirty = true;
-  dirty_.push_back(m.ix);
 }
 
 void Agents::update(Machine& m, Slot& s, const wire::TaskReport& t) {
@@ -297,8 +352,6 @@
   s.phase = Slot::Phase::exited;
   s.cause = t.cause;
   release(m, s);
-  m.dirty = true;
-  dirty_.push_back(m.ix);
   if (!job) {
     s.forget = true;
     return;
@@ -306,7 +359,7 @@
   // A result that came in is kept even if the job is being cancelled; a stop may have crossed with it.
   if (t.cause == wire::Cause::done && job->open() && !job->service()) {
     registry_.complete(*job, s.task, m.zone);
-    ledger_.progress(*job, s.task);
+    ledger_.progress(*job, s.task, m.ix, s.attempt);
   } else {
     registry_.unplace(*job, s.task, m.zone);
     s.forget = true;
@@ -317,9 +370,10 @@
 void Agents::release(Machine& m, Slot& s) {
   if (!s.counted) return;
   s.counted = false;
+  changed(m);
   if (s.job == kNone) {
     --m.unknown;
-    recheck_clear();
+    account(m);
     return;
   }
   // A slot that ends at once has given its room to its successor already (see stop()).
@@ -330,40 +384,70 @@
 // The worker no longer has it, whatever it was.
 void Agents::drop_slot(Machine& m, std::size_t i) {
   Slot& s = m.slots[i];
+  jobs::Job* job = registry_.at(s.job);
   if (s.counted) {
     release(m, s);
-    if (jobs::Job* job = registry_.at(s.job)) registry_.unplace(*job, s.task, m.zone);
-  }
-  if (jobs::Job* job = registry_.at(s.job)) {
-    m.slots.erase(m.slots.begin() + static_cast<std::ptrdiff_t>(i));
-    registry_.drop_if_over(*job);
-    return;
+    if (job) registry_.unplace(*job, s.task, m.zone);
   }
   m.slots.erase(m.slots.begin() + static_cast<std::ptrdiff_t>(i));
+  if (job) registry_.drop_if_over(*job);
 }
 
 void Agents::end_session(Machine& m) {
   for (std::size_t i = m.slots.size(); i-- > 0;) drop_slot(m, i);
   m.reporting = false;
   m.idle_since = out_.now();
+  changed(m);
 }
 
 void Agents::settle(Machine& m) {
   if (m.settled) return;
   m.settled = true;
-  recheck_clear();
+  account(m);
+  changed(m);
   if (m.reporting && m.enlisted) events_.up(m);
 }
 
-void Agents::recheck_clear() {
-  if (cleared_ || !active_) return;
-  const bool fenced = out_.now() < fence_until_;
-  for (const Machine& m : machines_) {
-    if (m.gone) continue;
-    if ((!m.settled && fenced) || m.unknown > 0) return;
+Agents::Doubt& Agents::doubt(const Machine& m) {
+  for (Doubt& d : doubts_) {
+    if (d.type == m.type && d.zone == m.zone && d.spot == m.spot) return d;
   }
-  cleared_ = true;
-  spdlog::info("every machine of the roster is accounted for");
+  doubts_.push_back({m.type, m.zone, m.spot, 0});
+  return doubts_.back();
+}
+
+// Keeps the sums over machines that may hold what this leader does not know of.
+void Agents::account(Machine& m) {
+  const bool unsettled = !m.gone && !m.settled;
+  if (unsettled != m.counted_unsettled) {
+    m.counted_unsettled = unsettled;
+    doubt(m).unsettled += unsettled ? 1 : -1;
+  }
+  const bool in_doubt = !m.gone && (!m.settled || m.unknown > 0);
+  if (m.in_doubt) {
+    --in_doubt_;
+    unsized_ -= m.doubt_cpus <= 0;
+    doubt_sum_.cpus -= m.doubt_cpus;
+    doubt_sum_.gpus -= m.doubt_gpus;
+  }
+  m.in_doubt = in_doubt;
+  if (in_doubt) {
+    m.doubt_cpus = m.cpus;
+    m.doubt_gpus = m.gpus;
+    ++in_doubt_;
+    unsized_ += m.doubt_cpus <= 0;
+    doubt_sum_.cpus += m.doubt_cpus;
+    doubt_sum_.gpus += m.doubt_gpus;
+  } else if (in_doubt_ == 0 && active_ && cleared_after_ == 0) {
+    cleared_after_ = std::max(1e-3, out_.now() - began_);
+    spdlog::info("every machine of the roster is accounted for after {:.2f} s", cleared_after_);
+  }
+}
+
+std::optional<wire::Resources> Agents::unaccounted() const {
+  if (unsized_ > 0) return std::nullopt;
+  if (in_doubt_ == 0) return wire::Resources{};
+  return doubt_sum_;
 }
 
 void Agents::gone(Machine& m) {
@@ -371,9 +455,13 @@
   end_session(m);
   m.gone = true;
   m.settled = true;
-  if (m.enlisted) ledger_.delist(m.host);
+  account(m);
+  silent_.erase(m.ix);
+  const auto it = std::lower_bound(live_.begin(), live_.end(), m.ix);
+  if (it != live_.end() && *it == m.ix) live_.erase(it);
+  if (m.enlisted) ledger_.delist(m.ix);
   m.enlisted = false;
-  recheck_clear();
+  events_.gone(m);
 }
 
 void Agents::touch_image(Machine& m, Ix image) {
@@ -384,234 +472,84 @@
     }
   }
   m.images.emplace_back(image, out_.now());
-  // The worker keeps the most recently used; how many fit is a guess from the images' sizes, and a wrong
-  // guess costs a fetch, no more.
-  constexpr std::size_t kKept = 12;
-  if (m.images.size() > kKept) {
-    m.images.erase(std::min_element(m.images.begin(), m.images.end(),
-                                    [](const auto& a, const auto& b) { return a.second < b.second; }));
-  }
-  if (m.enlisted) ledger_.enlist(m.host, record(m), {});
-}
-
-// ---------------------------------------------------------------- orders
-
-bool Agents::start(Machine& m, jobs::Job& job, std::uint32_t task) {
-  Slot s;
-  s.job = job.ix;
-  s.task = task;
-  // Unique without a write: the token is this leadership's alone, and the counter never goes back within it.
-  s.attempt = (link_.token() << 24) + ++counter_;
-  // A gang's tasks find each other by their attempt: all that start together share it.
-  if (job.gang()) {
-    if (job.placed == 0) job.gang_attempt = s.attempt;
-    s.attempt = job.gang_attempt;
-  }
-  s.name = wire::task_name(job.spec.ref, task);
-  s.need = job.spec.need;
-  s.ordered_at = out_.now();
-  add(m.used, s.need, 1);
-  add(team_use_[job.team], s.need, 1);
-  registry_.place(job, task, m.ix, m.zone);
-  m.slots.push_back(std::move(s));
-  m.idle_since = 0;
-  m.dirty = true;
-  dirty_.push_back(m.ix);
-  return true;
-}
-
-void Agents::stop(Machine& m, Slot& s, double grace_s) {
-  if (!s.counted || (s.stop && s.grace_s <= grace_s)) return;
-  const bool before = s.ends_at_once();
-  s.stop = true;
-  s.grace_s = grace_s;
-  if (!before && s.ends_at_once() && s.job != kNone) add(m.used, s.need, -1);
-  m.dirty = true;
-  dirty_.push_back(m.ix);
-}
-
-void Agents::cancel(jobs::Job& job) {
-  for (const jobs::Task& t : job.tasks) {
-    if (t.state != jobs::TaskState::placed) continue;
-    Machine& m = machines_[t.machine];
-    for (Slot& s : m.slots) {
-      if (s.job == job.ix && s.counted) stop(m, s, 0);
-    }
-  }
-}
-
-void Agents::allow_forget(jobs::Job& job) {
-  for (Machine& m : machines_) {
-    bool any = false;
-    for (std::size_t i = m.slots.size(); i-- > 0;) {
-      Slot& s = m.slots[i];
-      if (s.job != job.ix || s.phase != Slot::Phase::exited || s.forget) continue;
-      if (!ledger_.persisted(job, s.task)) continue;
-      s.forget = any = true;
-    }
-    if (any) {
-      m.dirty = true;
-      dirty_.push_back(m.ix);
-    }
-  }
-}
-
-std::vector<wire::Order> Agents::orders(Machine& m, bool direct) {
-  using V = wire::Order::Verb;
-  std::vector<wire::Order> list;
-  // Stops come first: a start behind them may need their room.
-  for (const Slot& s : m.slots) {
-    if (s.counted && s.stop) list.push_back({V::stop, s.name, s.attempt, s.grace_s});
-  }
-  for (const Slot& s : m.slots) {
-    if (s.phase == Slot::Phase::exited && s.forget && !s.late_copy && !s.in_flight) {
-      list.push_back({V::forget, s.name, s.attempt});
+  changed(m);
+  // The worker keeps the most recently used. Sizes come with the jobs; a wrong guess costs a fetch, no more.
+  double cached = 0;
+  for (const auto& i : m.images) cached += registry_.image_gb(i.first);
+  const double cache = m.type < catalog_.size() ? catalog_[m.type].cache_gb : 0;
+  while (m.images.size() > 1 && cached > cache) {
+    const auto oldest = std::min_element(m.images.begin(), m.images.end(),
+                                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    cached -= registry_.image_gb(oldest->first);
+    m.images.erase(oldest);
+  }
+  if (m.enlisted) ledger_.refresh(m.ix);
+}
+
+void Agents::forget(const std::vector<jobs::Ledger::Ended>& ended) {
+  for (const auto& e : ended) {
+    for (Slot& s : machines_[e.machine].slots) {
+      if (s.attempt == e.attempt && s.task == e.task && s.phase == Slot::Phase::exited) s.forget = true;
     }
   }
-  for (Slot& s : m.slots) {
-    // A start and its stop at once need no start; the slot stays until the session tells that it never
-    // arrived.
-    if (s.phase != Slot::Phase::ordered || list.size() >= kOrdersPerCall) continue;
-    if (s.stop && !s.late_copy && !s.in_flight) continue;
-    jobs::Job* job = registry_.at(s.job);
-    if (!job || !job->open()) continue;
-    list.push_back({V::start, s.name, s.attempt});
-    // What an answer to a report carries is not tracked further: its worker may act on it or drop it.
-    (direct ? s.in_flight : s.late_copy) = true;
-  }
-  return list;
 }
 
-void Agents::flush() {
-  if (!active_) return;
-  auto batch = std::exchange(dirty_, {});
-  for (const Ix ix : batch) {
-    Machine& m = machines_[ix];
-    if (m.dirty && !m.in_flight) push(m);
-  }
-}
-
-void Agents::push(Machine& m) {
-  // A machine of the roster is asked before its first report: a wrong session gets 409 with its report.
-  if (m.gone || m.addr.empty() || (!m.reporting && m.settled) || out_.now() < m.retry_at) return;
-  if (out_.now() >= link_.authority_until()) return;
-  m.dirty = false;
-  // Before a machine is in the persisted roster the next leader would not know to ask it, so it gets no
-  // start.
-  std::vector<wire::Order> list;
-  std::vector<std::uint64_t> starts;
-  if (m.enlisted && m.settled) {
-    // A stopped task whose start never left this node: nothing to tell the worker.
-    for (std::size_t i = m.slots.size(); i-- > 0;) {
-      Slot& s = m.slots[i];
-      if (s.phase == Slot::Phase::ordered && s.stop && !s.late_copy && !s.in_flight) drop_slot(m, i);
-    }
-    list = orders(m, true);
-    for (const Slot& s : m.slots) {
-      if (s.in_flight) starts.push_back(s.attempt);
-    }
-    if (list.empty()) return;
-  } else if (m.settled) {
-    return;
-  } else {
-    m.dirty = true;  // this only makes our token known; the orders proper follow it
-  }
-  m.in_flight = true;
-  m.pushed_at = out_.now();
-  orders_sent_ += list.size();
-  ports::Call call;
-  call.target = ports::Target::worker;
-  call.address = m.addr;
-  call.method = "POST";
-  call.path = wire::kCommandsPath;
-  call.body = wire::commands_body(link_.token(), std::max<std::uint64_t>(1, m.session), list);
-  call.timeout_s = kCommandTimeout;
-  call.not_after = link_.authority_until();
-  out_.call(std::move(call),
-            [this, ix = m.ix, session = m.session, term = term_, starts](const ports::Reply& reply) {
-              if (term == term_) commands_answered(ix, session, starts, reply);
-            });
-}
-
-void Agents::commands_answered(Ix ix, std::uint64_t session, const std::vector<std::uint64_t>& starts,
-                               const ports::Reply& reply) {
-  Machine& m = machines_[ix];
-  m.in_flight = false;
-  if (m.gone) return;
-  const bool unanswered = reply.status == 0;
-  if (m.session == session) {
-    for (Slot& s : m.slots) {
-      if (!s.in_flight || std::find(starts.begin(), starts.end(), s.attempt) == starts.end()) continue;
-      s.in_flight = false;
-      s.late_copy |= unanswered && reply.delivered;
-    }
-  }
-  if (reply.status == 200 || reply.status == 409) {
-    m.unreachable = false;
-    auto r = wire::parse_report(reply.body);
-    if (!r || r->host != m.host) {
-      spdlog::warn("{}: a malformed answer to orders", m.host);
-    } else {
-      if (r->token > link_.token()) return events_.superseded();
-      const bool newer = std::pair(r->session, r->seq) > std::pair(m.session, m.seq);
-      if (newer) apply(m, *r);
-      if (reply.status == 200) settle(m);
-    }
-  } else {
-    if (!m.unreachable) spdlog::debug("{}: no answer to orders", m.host);
-    m.unreachable = true;
-    m.retry_at = out_.now() + kResend;
-  }
-  if (!active_ || m.gone) return;
-  if (m.unreachable || !m.dirty) return;  // tick() repeats what is still wanted
-  dirty_.push_back(ix);
-}
+// ---------------------------------------------------------------- deadlines
 
-// Whether the worker has yet to do something that it may have been told already.
-bool Agents::wants_orders(const Machine& m) const {
-  if (!m.settled) return true;
-  return std::any_of(m.slots.begin(), m.slots.end(), [](const Slot& s) {
-    return s.phase == Slot::Phase::ordered || (s.counted && s.stop) ||
-           (s.phase == Slot::Phase::exited && s.forget && !s.late_copy);
-  });
+void Agents::look_again(Machine& m, Seconds at) {
+  at = std::max(at, out_.now() + kSoonest);  // a deadline that has passed must not be looked at in circles
+  if (at >= m.check_at) return;
+  m.check_at = at;
+  due_.push({at, m.ix});
 }
 
 void Agents::tick() {
   const Seconds now = out_.now();
   // Past its authority a leader knows nothing of the workers' leases: another one may be renewing them.
   if (!active_ || now >= link_.authority_until()) return;
-  for (Machine& m : machines_) {
-    if (m.gone) continue;
-    if (now >= m.lease_until && (m.reporting || !m.settled)) {
-      // Nobody can have renewed the worker's lease since, so it has killed everything it had.
-      if (m.reporting) spdlog::warn("{}: its lease has run out", m.host);
-      end_session(m);
-      m.settled = true;
-    }
-    if (!m.in_flight && now >= m.pushed_at + kResend && wants_orders(m)) {
-      m.dirty = true;
-      dirty_.push_back(m.ix);
-    }
-    // Ask a machine that should have reported by now (reports are up to a quarter late); the answer to an
-    // empty list of orders is its report.
-    if (m.reporting && !m.in_flight && silence(m) > 1.3 * settings_.report_s && now >= m.retry_at &&
-        !m.addr.empty() && now < link_.authority_until()) {
-      m.in_flight = true;
-      ports::Call call;
-      call.target = ports::Target::worker;
-      call.address = m.addr;
-      call.method = "POST";
-      call.path = wire::kCommandsPath;
-      call.body = wire::commands_body(link_.token(), m.session, {});
-      call.timeout_s = 1.0;
-      call.not_after = link_.authority_until();
-      out_.call(std::move(call),
-                [this, ix = m.ix, session = m.session, term = term_](const ports::Reply& reply) {
-                  if (term == term_) commands_answered(ix, session, {}, reply);
-                });
-    }
+  while (!due_.empty() && due_.top().at <= now) {
+    const Due due = due_.top();
+    due_.pop();
+    Machine& m = machines_[due.ix];
+    if (m.check_at != due.at) continue;  // an earlier look replaced this one
+    m.check_at = ports::kNever;
+    ++checks_;
+    check(m);
   }
-  recheck_clear();
+}
+
+// What time alone brings about on a machine, and when to look at it next.
+void Agents::check(Machine& m) {
+  const Seconds now = out_.now();
+  if (m.gone) return;
+  if (now >= m.lease_until && (m.reporting || !m.settled)) {
+    // Nobody can have renewed the worker's lease since, so it has killed everything it had.
+    if (m.reporting) spdlog::warn("{}: its lease has run out", m.host);
+    end_session(m);
+    m.settled = true;
+    account(m);
+  }
+  changed(m);
+  if (m.reporting || !m.settled) look_again(m, m.lease_until);
+  if (m.doubt_until > now) look_again(m, m.doubt_until);
+  if (wants_orders(m)) {
+    if (!m.in_flight && now >= m.pushed_at + kResend) {
+      m.news = true;
+      want(m);
+    }
+    look_again(m, std::max(now + 0.25, std::max(m.pushed_at, m.retry_at) + kResend));
+  }
+  if (silence(m) > silent_s() && (m.reporting || !m.settled)) silent_.insert(m.ix);
+  if (!m.settled && silence(m) <= silent_s()) look_again(m, m.last_contact + silent_s() + kSoonest);
+  if (!m.reporting) return;
+  const Seconds late = kLateReport * settings_.report_s;
+  if (silence(m) <= late) return look_again(m, m.last_contact + late + kSoonest);
+  // Ask a machine that should have reported by now; the answer to an empty list of orders is its report.
+  if (!m.in_flight && now >= m.retry_at && !m.addr.empty() && calls_ < call_limit()) {
+    send_direct(m, {}, {}, kProbeTimeout);
+  }
+  look_again(m, silence(m) > silent_s() ? now + kResend / 2
+                                        : std::min(now + kResend / 2, m.last_contact + silent_s() + kSoonest));
 }
 
 }  // namespace wingtrail::agents
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -29,6 +29,7 @@
               {[this] { return election_.token(); }, [this] { return election_.authority_until(); }},
               {[this](agents::Machine& m) { scheduler_.room(m); },
                [this](agents::Machine& m) { scheduler_.room(m); },
+               [this](agents::Machine& m) { scheduler_.gone(m); },
                [this](agents::Machine& m, const agents::Slot& s) {
                  scheduler_.exited(m, s);
                  if (jobs::Job* job = registry_.at(s.job)) {
@@ -43,8 +44,11 @@
              {[this] { return election_.token(); }, [this] { return entitled(); },
               [this] { return election_.authority_until(); }}),
       peers_(settings_.peers.size()) {
-  ledger_.on_closed = [this](jobs::Job& job) { job_closed(job); };
-  ledger_.on_progress = [this](jobs::Job& job) { agents_.allow_forget(job); };
+  ledger_.set_events({[this](jobs::Job& job) { job_closed(job); },
+                      [this](const std::vector<jobs::Ledger::Ended>& ended) { agents_.forget(ended); },
+                      [this](jobs::Ix ix) { agents_.enlisted(ix); },
+                      [this](jobs::Ix ix) { return agents_.record(ix); }});
+  registry_.on_pending = [this](jobs::Job& job) { scheduler_.waits(job); };
 }
 
 void Node::start(Seconds now) {
@@ -597,17 +601,11 @@
     if (!spec) return spdlog::error("{}: not a job: {}", item.key, spec.error());
     registry_.add(*spec, item.version, out_.now());
   } else if (prefix == jobs::kProgress) {
-    const std::string ref = item.key.substr(2, item.key.rfind('/') - 2);
-    jobs::Job* job = registry_.find(ref);
-    if (!job) return;  // over; its record is on its way out
-    job->persisted_any = true;
-    const bool good = ledger_.codec().decode(item.value, job->spec.tasks, [&](std::uint32_t task) {
-      registry_.complete(*job, task, jobs::kNone);
-    });
-    if (!good) spdlog::error("{}: unreadable progress", item.key);
-    job->dirty = false;
+    if (!ledger_.load_progress(item.key, item.value)) spdlog::error("{}: unreadable progress", item.key);
   } else {
-    agents_.roster(item.key.substr(2), item.value);
+    const bool good = ledger_.load_roster(
+        item.key, item.value, [this](const wire::Value& record) { return agents_.roster(record).ix; });
+    if (!good) spdlog::error("{}: an unreadable page of the roster", item.key);
   }
 }
 
@@ -618,10 +616,12 @@
   spdlog::info("loaded {} jobs and {} machines", registry_.live(), agents_.all().size());
   fleet_.begin();
   agents_.tick();
-  registry_.each([this](jobs::Job& job) {
-    done_if_complete(job);
-    scheduler_.arrived(job);
-  });
+  std::vector<jobs::Job*> all;
+  registry_.each([&all](jobs::Job& job) { all.push_back(&job); });
+  for (jobs::Job* job : all) {
+    done_if_complete(*job);
+    scheduler_.arrived(*job);
+  }
   follow_jobs(jobs_revision_, term_);
   keep_catalog();
 }
@@ -675,7 +675,7 @@
   spdlog::info("{} ({} of {}) is {} after {:.1f} s; {} of its {} tasks had to start again", job.spec.ref,
                job.spec.job_class, job.spec.team, wire::phase_name(job.final_phase), out_.now() - job.seen_at,
                job.lost, job.spec.tasks);
-  agents_.allow_forget(job);
+  scheduler_.over(job);
   registry_.drop_if_over(job);
 }
 
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -48,7 +48,14 @@
   smooth_flexible_ = smooth_ordinary_ = -1;
 }
 
-void Fleet::set_catalog(std::vector<wire::MachineType> catalog) { catalog_ = std::move(catalog); }
+void Fleet::set_catalog(std::vector<wire::MachineType> catalog) {
+  catalog_ = std::move(catalog);
+  for (const auto& t : catalog_) {
+    const Ix ix = registry_.types.add(t.name);
+    if (types_.size() <= ix) types_.resize(ix + 1);
+    types_[ix] = t;
+  }
+}
 
 bool Fleet::take_call(bool urgent) { return calls_.take(out_.now(), 1, urgent ? 0.0 : 0.3); }
 
@@ -62,6 +69,7 @@
   watch_health();
   if (out_.now() >= rent_at_ && !catalog_.empty()) {
     rent_at_ = out_.now() + 1;
+    reckon();
     rent();
     shed();
   }
@@ -135,74 +143,119 @@
   }
   // A machine of the roster that neither reports nor was ever listed has been gone since before this
   // leadership.
-  for (Machine& m : agents_.all()) {
-    if (m.gone || m.reporting || listings_.contains(m.ix) || seen_in_list_.contains(m.ix)) continue;
+  for (const Ix ix : std::vector<Ix>(agents_.live())) {
+    Machine& m = agents_.at(ix);
+    if (m.reporting || listings_.contains(ix) || seen_in_list_.contains(ix)) continue;
     if (out_.now() - m.first_seen > settings_.lease_s + 3 * settings_.list_lag_s + 5) agents_.gone(m);
   }
 }
 
 // ---------------------------------------------------------------- renting
 
+const wire::MachineType* Fleet::type(Ix type) const {
+  return type < types_.size() && types_[type].cpus > 0 ? &types_[type] : nullptr;
+}
+
 double Fleet::price(const Pool& p) const {
-  for (const auto& t : catalog_) {
-    if (registry_.types.find(t.name) == p.type) return (p.spot ? t.spot_price : t.price) / t.cpus;
-  }
-  return 1e9;
+  const wire::MachineType* t = type(p.type);
+  return t ? (p.spot ? t->spot_price : t->price) / t->cpus : 1e9;
 }
 
-std::vector<Fleet::Pool> Fleet::pools(bool spot) const {
-  std::vector<Pool> out;
+bool Fleet::refused(const Pool& pool) const {
+  auto until = refused_until_.find(pool);
+  return until != refused_until_.end() && out_.now() < until->second;
+}
+
+// The pools of a kind, cheapest first; those that cost about the same stand together.
+std::vector<std::vector<Fleet::Pool>> Fleet::pools(bool spot) const {
+  std::vector<Pool> all;
   for (const auto& t : catalog_) {
-    for (const auto& z : t.zones) out.push_back({registry_.types.find(t.name), registry_.zones.add(z), spot});
+    for (const auto& z : t.zones) all.push_back({registry_.types.find(t.name), registry_.zones.add(z), spot});
   }
-  // Cheapest first; among equals the zone with the fewest cores, since spreading limits what a zone can take
-  // away.
-  auto cores = [&](const Pool& p) {
-    double sum = 0;
-    for (const Machine& m : agents_.all()) {
-      if (!m.gone && m.zone == p.zone && m.spot == spot) sum += m.cpus;
-    }
-    for (const Hire& h : hires_) {
-      if (h.pool.zone == p.zone && h.pool.spot == spot) sum += 16.0 * h.count;
-    }
-    return sum;
-  };
-  std::stable_sort(out.begin(), out.end(), [&](const Pool& a, const Pool& b) {
-    const double pa = price(a), pb = price(b);
-    if (std::abs(pa - pb) > 0.02 * std::max(pa, pb)) return pa < pb;
-    return cores(a) < cores(b);
-  });
-  return out;
+  std::stable_sort(all.begin(), all.end(),
+                   [this](const Pool& a, const Pool& b) { return price(a) < price(b); });
+  std::vector<std::vector<Pool>> tiers;
+  for (const Pool& p : all) {
+    constexpr double kAboutTheSame = 1.02;
+    if (tiers.empty() || price(p) > price(tiers.back().front()) * kAboutTheSame) tiers.emplace_back();
+    tiers.back().push_back(p);
+  }
+  return tiers;
 }
 
 // Whether the machine is, or will soon be, of use to new work.
 bool Fleet::counts(const Machine& m) const {
   if (m.gone || m.returning || m.draining || m.health == agents::Health::bad || m.reclaim_at) return false;
   if (m.reporting) return true;
-  const double boot = m.type < registry_.types.size() ? [&] {
-    for (const auto& t : catalog_) {
-      if (registry_.types.find(t.name) == m.type) return t.boot_s;
-    }
-    return 60.0;
-  }() : 60.0;
-  return out_.now() - m.hired_at < kBootOverrun * boot;
+  const wire::MachineType* t = type(m.type);
+  return out_.now() - m.hired_at < kBootOverrun * (t ? t->boot_s : 60.0);
 }
 
-double Fleet::cores_under_way(bool spot) const {
-  double sum = 0;
-  for (const Hire& h : hires_) {
-    if (h.pool.spot != spot) continue;
-    for (const auto& t : catalog_) {
-      if (registry_.types.find(t.name) == h.pool.type) sum += t.cpus * h.count;
+Seconds Fleet::boot_s() const {
+  Seconds least = 600;
+  for (const auto& t : catalog_) least = std::min(least, t.boot_s);
+  return least;
+}
+
+// The one walk over the machines, once a second: what there is, and which of them need attention.
+void Fleet::reckon() {
+  stock_.clear();
+  zone_machines_.clear();
+  draining_.clear();
+  faulty_.clear();
+  unborn_.clear();
+  largest_ = 0;
+  for (const Ix ix : agents_.live()) {
+    const Machine& m = agents_.at(ix);
+    if (counts(m)) {
+      Stock& stock = stock_[{m.type, m.zone, m.spot}];
+      stock.cores += m.cpus;
+      ++stock.machines;
+      largest_ = std::max(largest_, m.cpus);
     }
+    if (m.returning) continue;
+    if (m.reporting || !m.settled) ++zone_machines_[m.zone];
+    if (m.draining) draining_.push_back(ix);
+    if (m.health == agents::Health::bad && m.reporting && !busy(m)) faulty_.push_back(ix);
+    if (!m.reporting && m.settled && !counts(m)) unborn_.push_back(ix);
   }
+  for (const Hire& h : hires_) {
+    const wire::MachineType* t = type(h.pool.type);
+    stock_[h.pool].cores += t ? t->cpus * h.count : 0;
+    stock_[h.pool].machines += h.count;
+  }
+}
+
+double Fleet::cores(bool spot) const {
+  double sum = 0;
+  for (const auto& [pool, stock] : stock_) sum += pool.spot == spot ? stock.cores : 0;
   return sum;
 }
 
-Seconds Fleet::boot_s() const {
-  Seconds least = 600;
-  for (const auto& t : catalog_) least = std::min(least, t.boot_s);
-  return least;
+// Asks for that many cores of a kind; returns how many could not even be asked for.
+double Fleet::fill(bool spot, double missing, const char* why) {
+  for (const auto& tier : pools(spot)) {
+    std::vector<Pool> open;
+    for (const Pool& p : tier) {
+      if (!refused(p)) open.push_back(p);
+    }
+    // Spreading over zones limits what a zone can take away: the one with the fewest cores comes first.
+    auto zone_cores = [this](const Pool& p) {
+      double sum = 0;
+      for (const auto& [pool, stock] : stock_) sum += pool.zone == p.zone && pool.spot == p.spot ? stock.cores : 0;
+      return sum;
+    };
+    std::stable_sort(open.begin(), open.end(),
+                     [&](const Pool& a, const Pool& b) { return zone_cores(a) < zone_cores(b); });
+    for (std::size_t i = 0; i < open.size(); ++i) {
+      const double each = type(open[i].type)->cpus;
+      int n = static_cast<int>(std::ceil(missing / static_cast<double>(open.size() - i) / each - 1e-9));
+      missing -= n * each;
+      for (; n > 0; n -= kMostPerHire) ask(open[i], std::min(n, kMostPerHire), why);
+      if (missing <= 0) return 0;
+    }
+  }
+  return missing;
 }
 
 void Fleet::rent() {
@@ -213,39 +266,19 @@
   smooth_flexible_ =
       smooth_flexible_ < 0 ? flexible_now : smooth_flexible_ + (flexible_now - smooth_flexible_) * 0.03;
   smooth_ordinary_ = std::max(d.ordinary, smooth_ordinary_ < 0 ? d.ordinary : smooth_ordinary_ * 0.995);
-  double ordinary = cores_under_way(false), spot = cores_under_way(true), largest = 0;
-  for (const Machine& m : agents_.all()) {
-    if (!counts(m)) continue;
-    (m.spot ? spot : ordinary) += m.cpus;
-    largest = std::max(largest, m.cpus);
-  }
+  double ordinary = cores(false);
+  const double spot = cores(true);
   const double headroom = settings_.tunables.headroom;
   const double flexible =
       std::max(smooth_flexible_ * (1 + headroom), flexible_now - d.waiting_flexible + d.pressing_flexible);
   // Services keep the loss of one machine in reserve.
-  const double want_ordinary = d.ordinary > 0 ? d.ordinary * (1 + headroom / 2) + largest / 2 : 0;
+  const double want_ordinary = d.ordinary > 0 ? d.ordinary * (1 + headroom / 2) + largest_ / 2 : 0;
   const double want_total = d.ordinary * (1 + headroom / 2) + flexible;
   spdlog::debug(
       "load: ordinary {:.0f} ({:.0f} waiting), flexible {:.0f} ({:.0f} waiting, mean {:.0f}); machines: "
       "ordinary {:.0f}, spot {:.0f}; wanted: ordinary {:.0f}, in all {:.0f}",
       d.ordinary, d.waiting_ordinary, d.flexible, d.waiting_flexible, smooth_flexible_, ordinary, spot,
       want_ordinary, want_total);
-  auto fill = [&](bool as_spot, double missing, const char* why) {
-    for (const Pool& p : pools(as_spot)) {
-      if (missing <= 0) return missing;
-      auto until = refused_until_.find(p);
-      if (until != refused_until_.end() && out_.now() < until->second) continue;
-      double cpus = 0;
-      for (const auto& t : catalog_) {
-        if (registry_.types.find(t.name) == p.type) cpus = t.cpus;
-      }
-      const int n = std::min(kMostPerHire, static_cast<int>(std::ceil(missing / cpus / 2 - 1e-9)));
-      if (n < 1) continue;
-      ask(p, n, why);
-      missing -= n * cpus;
-    }
-    return missing;
-  };
   // A missing part of a machine is not worth one, except for work that waits.
   double missing = want_ordinary - ordinary;
   if (missing > 0) {
@@ -253,9 +286,11 @@
     ordinary += missing;
   }
   missing = want_total - ordinary - spot;
-  for (Machine& m : agents_.all()) {  // what is being drained comes back before anything is rented
+  for (const Ix ix : draining_) {  // what is being drained comes back before anything is rented
+    Machine& m = agents_.at(ix);
     if (missing <= 0 || m.gone || m.returning || !m.draining) continue;
     m.draining = false;
+    agents_.changed(m);
     missing -= m.cpus;
   }
   if (missing > 0) {
@@ -263,56 +298,50 @@
     if (left > 0 && d.waiting_flexible > 0)
       fill(false, std::min(left, d.waiting_flexible), "load, no spot to be had");
   }
-  // Work that no present or coming machine may run asks for a machine of its own.
-  registry_.each([&](jobs::Job& job) {
-    if (!job.open() || job.pending.empty() || out_.now() - job.seen_at < 1 || out_.now() < job.not_before)
-      return;
-    auto holds = [&job](double cpus, double gpus, double memory_gb) {
-      const wire::Resources& n = job.spec.need;
-      double tasks = job.spec.tasks;
-      if (n.cpus > 0) tasks = std::min(tasks, std::floor(cpus / n.cpus + 1e-9));
-      if (n.gpus > 0) tasks = std::min(tasks, std::floor(gpus / n.gpus + 1e-9));
-      if (n.memory_gb > 0) tasks = std::min(tasks, std::floor(memory_gb / n.memory_gb + 1e-9));
-      return tasks;
-    };
-    auto type_holds = [&](Ix type) {
-      for (const auto& t : catalog_) {
-        if (registry_.types.find(t.name) == type) return holds(t.cpus, t.gpus, t.memory_gb);
-      }
-      return 0.0;
-    };
-    // A gang needs room for all its tasks at once, and in one zone if it must stay together.
-    const double needed = job.gang() ? static_cast<double>(job.pending.size()) : 1;
-    auto present = [&](std::optional<Ix> zone) {
-      double tasks = 0;
-      for (const Machine& m : agents_.all()) {
-        if (zone && m.zone != *zone) continue;
-        if (counts(m) && scheduler_.allowed(m, job)) tasks += holds(m.cpus, m.gpus, m.memory_gb);
-      }
-      for (const Hire& h : hires_) {
-        if (zone && h.pool.zone != *zone) continue;
-        if (scheduler_.allowed(job, h.pool.type, h.pool.zone, h.pool.spot))
-          tasks += h.count * type_holds(h.pool.type);
-      }
-      return tasks;
-    };
-    const bool together = job.gang() && job.spec.one_zone;
-    if (!together && present({}) >= needed) return;
-    for (Ix zone = 0; together && zone < registry_.zones.size(); ++zone) {
-      if (present(zone) >= needed) return;
+  for (const Ix ix : scheduler_.waiting()) {
+    if (const jobs::Job* job = registry_.at(ix)) rent_for(*job);
+  }
+}
+
+// Work that no present or coming machine may run asks for a machine of its own.
+void Fleet::rent_for(const jobs::Job& job) {
+  if (!job.open() || job.pending.empty() || out_.now() - job.seen_at < 1 || out_.now() < job.not_before) return;
+  auto holds = [&](Ix type_ix) {
+    const wire::MachineType* t = type(type_ix);
+    if (!t) return 0.0;
+    const wire::Resources& n = job.spec.need;
+    double tasks = job.spec.tasks;
+    if (n.cpus > 0) tasks = std::min(tasks, std::floor(t->cpus / n.cpus + 1e-9));
+    if (n.gpus > 0) tasks = std::min(tasks, std::floor(t->gpus / n.gpus + 1e-9));
+    if (n.memory_gb > 0) tasks = std::min(tasks, std::floor(t->memory_gb / n.memory_gb + 1e-9));
+    return tasks;
+  };
+  // A gang needs room for all its tasks at once, and in one zone if it must stay together.
+  const double needed = job.gang() ? static_cast<double>(job.pending.size()) : 1;
+  auto present = [&](std::optional<Ix> zone) {
+    double tasks = 0;
+    for (const auto& [pool, stock] : stock_) {
+      if (zone && pool.zone != *zone) continue;
+      if (scheduler_.allowed(job, pool.type, pool.zone, pool.spot)) tasks += stock.machines * holds(pool.type);
     }
-    for (const bool as_spot : {true, false}) {
-      for (const Pool& p : pools(as_spot)) {
-        auto until = refused_until_.find(p);
-        if (until != refused_until_.end() && out_.now() < until->second) continue;
-        const double each = type_holds(p.type);
-        if (each < 1 || !scheduler_.allowed(job, p.type, p.zone, p.spot)) continue;
+    return tasks;
+  };
+  const bool together = job.gang() && job.spec.one_zone;
+  if (!together && present({}) >= needed) return;
+  for (Ix zone = 0; together && zone < registry_.zones.size(); ++zone) {
+    if (present(zone) >= needed) return;
+  }
+  for (const bool as_spot : {true, false}) {
+    for (const auto& tier : pools(as_spot)) {
+      for (const Pool& p : tier) {
+        const double each = holds(p.type);
+        if (refused(p) || each < 1 || !scheduler_.allowed(job, p.type, p.zone, p.spot)) continue;
         const double lacking = needed - present(together ? std::optional<Ix>(p.zone) : std::nullopt);
         return ask(p, std::clamp(static_cast<int>(std::ceil(lacking / each)), 1, kMostPerHire),
                    "a job that fits no other machine");
       }
     }
-  });
+  }
 }
 
 void Fleet::ask(const Pool& pool, int count, const char* why) {
@@ -325,6 +354,9 @@
   spdlog::info("renting {} of {} {} in {} for {}", count, pool.spot ? "spot" : "ordinary",
                registry_.types[pool.type], registry_.zones[pool.zone], why);
   hires_.push_back(std::move(h));
+  const wire::MachineType* t = type(pool.type);
+  stock_[pool].cores += t ? t->cpus * count : 0;
+  stock_[pool].machines += count;
 }
 
 void Fleet::send(Hire& hire) {
@@ -377,6 +409,7 @@
     Machine& m = agents_.at(ix);
     if (m.gone || m.returning) continue;
     m.returning = true;
+    agents_.changed(m);
     to_return_.insert(ix);
     spdlog::info("returning {}: {}", m.host, why);
   }
@@ -414,58 +447,48 @@
 // Machines that do not do their work are replaced; a return also ends whatever is on them, so their tasks can
 // be started elsewhere at once instead of when a lease has run out.
 void Fleet::watch_health() {
-  const Seconds silent_s = settings_.tunables.silent_reports * settings_.report_s;
   // Measured from when this leader could have heard of anybody.
-  if (out_.now() - began_ < silent_s) return;
-  std::map<Ix, std::pair<int, int>> zones;  // machines, and silent ones
-  for (const Machine& m : agents_.all()) {
-    if (m.gone || m.returning || (!m.reporting && m.settled)) continue;
-    auto& [all, silent] = zones[m.zone];
-    ++all;
-    silent += agents_.silence(m) > silent_s;
-  }
-  std::vector<Ix> lost, faulty, unborn;
-  for (Machine& m : agents_.all()) {
-    if (m.gone || m.returning) continue;
-    const bool known = m.reporting || !m.settled;
-    if (known && agents_.silence(m) > silent_s && (m.unreachable || !m.reporting)) {
-      const auto [all, silent] = zones[m.zone];
+  if (out_.now() - began_ >= agents_.silent_s() && !agents_.silent().empty()) {
+    std::map<Ix, int> silent;  // by zone
+    for (const Ix ix : agents_.silent()) silent[agents_.at(ix).zone] += !agents_.at(ix).returning;
+    std::vector<Ix> lost;
+    for (const Ix ix : agents_.silent()) {
+      const Machine& m = agents_.at(ix);
+      if (m.returning || !(m.unreachable || !m.reporting)) continue;
       // A zone that is silent as a whole is cut off rather than broken: its work goes on unseen, and
       // returning its machines would end that.
-      if (silent <= std::max(2, all / 2) && silent < std::max(2, all)) lost.push_back(m.ix);
+      const int all = zone_machines_[m.zone], mute = silent[m.zone];
+      if (mute <= std::max(2, all / 2) && mute < std::max(2, all)) lost.push_back(ix);
     }
-    if (m.health == agents::Health::bad && !busy(m) && m.reporting) faulty.push_back(m.ix);
-    if (!m.reporting && m.settled && !counts(m)) unborn.push_back(m.ix);
+    give_back(lost, "silent");
   }
-  if (!lost.empty()) give_back(lost, "silent");
-  if (!faulty.empty()) give_back(faulty, "faulty");
-  if (!unborn.empty()) give_back(unborn, "never came up");
+  give_back(std::exchange(faulty_, {}), "faulty");
+  give_back(std::exchange(unborn_, {}), "never came up");
 }
 
 // Returns what is not needed: idle machines, and after a while the emptiest ones, which are drained first.
 // Short tasks on a drained machine run to their end; replicas move to machines that have their image.
 void Fleet::shed() {
   const auto d = scheduler_.demand(boot_s());
-  double ordinary = 0, spot = 0, largest = 0;
-  for (const Machine& m : agents_.all()) {
-    if (!counts(m)) continue;
-    (m.spot ? spot : ordinary) += m.cpus;
-    largest = std::max(largest, m.cpus);
-  }
+  const double ordinary = cores(false), spot = cores(true);
   const double headroom = settings_.tunables.headroom;
   const double services = std::max(d.ordinary, smooth_ordinary_) * (1 + headroom / 2);
-  const double keep_ordinary = services + largest / 2;
+  const double keep_ordinary = services + largest_ / 2;
   const double keep_total = services + std::max(smooth_flexible_, d.flexible) * (1 + headroom);
   double excess = ordinary + spot - keep_total, excess_ordinary = ordinary - keep_ordinary;
   const Seconds now = out_.now();
-  for (Machine& m : agents_.all()) {
+  bool replicas_move = false;
+  for (const Ix ix : draining_) {
+    Machine& m = agents_.at(ix);
     if (m.gone || !m.draining || m.returning) continue;
     if (!busy(m)) {
-      give_back({m.ix}, "drained");
+      give_back({ix}, "drained");
     } else if (excess < 0) {
       m.draining = false;
+      agents_.changed(m);
       excess += m.cpus;
     } else {
+      replicas_move |= !m.spot;
       move_replica(m);
     }
   }
@@ -475,16 +498,14 @@
   }
   if (excess_since_ == 0) excess_since_ = now;
   std::vector<Machine*> order;
-  for (Machine& m : agents_.all()) {
+  for (const Ix ix : agents_.live()) {
+    Machine& m = agents_.at(ix);
     if (m.reporting && counts(m)) order.push_back(&m);
   }
   std::stable_sort(order.begin(), order.end(), [](const Machine* a, const Machine* b) {
     return a->used.cpus / std::max(1.0, a->cpus) < b->used.cpus / std::max(1.0, b->cpus);
   });
   const bool lasting = now - excess_since_ > settings_.tunables.idle_return_s;
-  bool replicas_move = std::any_of(agents_.all().begin(), agents_.all().end(), [](const Machine& m) {
-    return !m.gone && !m.returning && m.draining && !m.spot;
-  });
   for (Machine* m : order) {
     if (m->cpus > excess || (!m->spot && m->cpus > excess_ordinary)) continue;
     if (!busy(*m)) {
@@ -499,6 +520,7 @@
       if (service && replicas_move) continue;  // one machine's replicas at a time
       replicas_move |= service;
       m->draining = true;
+      agents_.changed(*m);
       spdlog::info("draining {}", m->host);
     }
     excess -= m->cpus;
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -53,12 +53,22 @@
     Seconds missing_since = 0;
     wire::ListedMachine::State state = wire::ListedMachine::State::booting;
   };
+  // What there is of a pool that is, or will soon be, of use to new work; hires under way included.
+  struct Stock {
+    double cores = 0;
+    int machines = 0;
+  };
   bool take_call(bool urgent);
   void list_machines(const std::string& after);
   void listed(const wire::MachineList& page, const std::string& after);
   void finish_list();
+  void reckon();
   void rent();
+  void rent_for(const jobs::Job& job);
+  double fill(bool spot, double cores, const char* why);
+  bool refused(const Pool& pool) const;
   Seconds boot_s() const;
+  const wire::MachineType* type(Ix type) const;
   void ask(const Pool& pool, int count, const char* why);
   void send(Hire& hire);
   void give_back(const std::vector<Ix>& machines, const char* why);
@@ -67,8 +77,8 @@
   void shed();
   void move_replica(Machine& m);
   double price(const Pool& pool) const;
-  std::vector<Pool> pools(bool spot) const;
-  double cores_under_way(bool spot) const;
+  double cores(bool spot) const;
+  std::vector<std::vector<Pool>> pools(bool spot) const;
   bool counts(const Machine& m) const;
 
   ports::Outbox& out_;
@@ -78,6 +88,11 @@
   sched::Scheduler& scheduler_;
   Link link_;
   std::vector<wire::MachineType> catalog_;
+  std::vector<wire::MachineType> types_;  // the same by type index; no cores: unknown
+  std::map<Pool, Stock> stock_;           // as of the last reckoning, and what was asked for since
+  std::map<Ix, int> zone_machines_;       // that should report, as of the last reckoning
+  double largest_ = 0;                    // cores of the largest machine
+  std::vector<Ix> draining_, faulty_, unborn_;
   std::map<Pool, Seconds> refused_until_;
   std::vector<Hire> hires_;
   std::map<Ix, Listing> listings_;
--- a/src/jobs/registry.cpp
+++ b/src/jobs/registry.cpp
@@ -1,7 +1,5 @@
 #include "jobs/registry.hpp"
 
-#include <algorithm>
-
 namespace wingtrail::jobs {
 
 Registry::Registry(const settings::Settings& settings) {
@@ -16,14 +14,16 @@
   job->spec = spec;
   job->team = teams.find(spec.team);
   job->image = images.add(spec.image);
+  if (image_gb_.size() <= job->image) image_gb_.resize(job->image + 1);
+  image_gb_[job->image] = spec.image_gb;
   job->job_class = classes.add(spec.job_class);
   if (spec.zone) job->zone = zones.add(*spec.zone);
   for (const auto& t : spec.types) job->types.push_back(types.add(t));
   job->created = created;
   job->seen_at = now;
   job->tasks.resize(spec.tasks);
-  job->pending.resize(spec.tasks);
-  for (std::uint32_t i = 0; i < spec.tasks; ++i) job->pending[i] = spec.tasks - 1 - i;
+  job->pending.reserve(spec.tasks);
+  for (std::uint32_t i = spec.tasks; i-- > 0;) wait(*job, i);
   by_ref_.emplace(spec.ref, job->ix);
   jobs_.push_back(std::move(job));
   return *jobs_.back();
@@ -45,16 +45,22 @@
   jobs_[job.ix].reset();
 }
 
+void Registry::wait(Job& job, std::uint32_t task) {
+  job.tasks[task] = {TaskState::pending, false, kNone, static_cast<std::uint32_t>(job.pending.size())};
+  job.pending.push_back(task);
+}
+
+void Registry::wait_no_more(Job& job, std::uint32_t task) {
+  const std::uint32_t at = job.tasks[task].at, last = job.pending.back();
+  job.pending[at] = last;
+  job.tasks[last].at = at;
+  job.pending.pop_back();
+}
+
 void Registry::place(Job& job, std::uint32_t task, Ix machine, Ix zone) {
   Task& t = job.tasks[task];
-  if (t.state == TaskState::pending) {
-    if (!job.pending.empty() && job.pending.back() == task) {
-      job.pending.pop_back();
-    } else {
-      std::erase(job.pending, task);
-    }
-  }
-  t = {TaskState::placed, false, machine};
+  if (t.state == TaskState::pending) wait_no_more(job, task);
+  t = {TaskState::placed, false, machine, 0};
   ++job.placed;
   if (job.in_zone.size() <= zone) job.in_zone.resize(zone + 1);
   ++job.in_zone[zone];
@@ -69,26 +75,25 @@
 
 void Registry::unplace(Job& job, std::uint32_t task, Ix zone) {
   set_running(job, task, false);
-  job.tasks[task] = {};
-  job.pending.push_back(task);
+  wait(job, task);
   ++job.lost;
   --job.placed;
   --job.in_zone[zone];
+  if (on_pending) on_pending(job);
 }
 
 void Registry::complete(Job& job, std::uint32_t task, Ix zone) {
   Task& t = job.tasks[task];
   if (t.state == TaskState::done) return;
   if (t.state == TaskState::pending) {
-    std::erase(job.pending, task);
+    wait_no_more(job, task);
   } else {
     set_running(job, task, false);
     --job.placed;
     if (zone != kNone) --job.in_zone[zone];
   }
-  t = {TaskState::done, false, kNone};
+  t = {TaskState::done, false, kNone, 0};
   ++job.done;
-  job.dirty = true;
 }
 
 }  // namespace wingtrail::jobs
--- a/src/jobs/registry.hpp
+++ b/src/jobs/registry.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -43,6 +44,7 @@
   TaskState state = TaskState::pending;
   bool running = false;
   Ix machine = kNone;
+  std::uint32_t at = 0;  // where it stands in `pending`
 };
 
 struct Job {
@@ -53,14 +55,13 @@
   std::uint64_t created = 0;  // revision of its creation
   Seconds seen_at = 0;
   std::vector<Task> tasks;
-  std::vector<std::uint32_t> pending;  // task numbers, the next one last
+  std::vector<std::uint32_t> pending;  // task numbers, in no order that matters; the next one last
   std::uint32_t done = 0, running = 0, placed = 0;
   std::vector<std::uint32_t> in_zone;  // placed tasks by zone
   bool closing = false;                // its final state is being persisted
   bool closed = false;                 // and has been
+  bool intent = false;                 // there is a record that its user wants it cancelled
   wire::Phase final_phase = wire::Phase::queued;
-  bool dirty = false;          // completed tasks not persisted yet
-  bool persisted_any = false;  // its progress record exists
   // A task that fails where others succeed points at its machine; one that fails everywhere, at the job.
   std::vector<Ix> failed_on;
   std::uint32_t errors = 0;
@@ -81,17 +82,19 @@
 
   Names teams, images, classes, zones, types;
 
+  std::function<void(Job&)> on_pending;  // one of its tasks waits again
+
   Job& add(const wire::JobSpec& spec, std::uint64_t created, Seconds now);
+  double image_gb(Ix image) const { return image < image_gb_.size() ? image_gb_[image] : 0; }
   Job* find(const std::string& ref);
   Job* at(Ix ix) { return ix < jobs_.size() ? jobs_[ix].get() : nullptr; }
   void clear();
   // Frees a job that is over and that no machine holds a task of.
   void drop_if_over(Job& job);
+  // Those that are not over; for what is done once a second at most.
   template <typename F>
   void each(F f) {
-    for (auto& j : jobs_) {
-      if (j) f(*j);
-    }
+    for (const auto& [ref, ix] : by_ref_) f(*jobs_[ix]);
   }
   std::size_t live() const { return by_ref_.size(); }
 
@@ -101,8 +104,12 @@
   void complete(Job& job, std::uint32_t task, Ix zone);  // zone kNone: it was not placed
 
  private:
+  static void wait(Job& job, std::uint32_t task);
+  static void wait_no_more(Job& job, std::uint32_t task);
+
   std::unordered_map<std::string, Ix> by_ref_;
   std::vector<std::unique_ptr<Job>> jobs_;
+  std::vector<double> image_gb_;
 };
 
 }  // namespace wingtrail::jobs
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -17,12 +17,7 @@
       registry_(registry),
       agents_(agents),
       token_(std::move(token)),
-      rng_(seed) {
-  for (const auto& o : settings.objectives) {
-    if (o.kind == "finished") within_[o.job_class].push_back(o.within_s);
-  }
-  for (auto& [name, times] : within_) std::sort(times.begin(), times.end());
-}
+      rng_(seed) {}
 
 void Scheduler::set_catalog(const std::vector<wire::MachineType>& catalog) {
   for (const auto& t : catalog) {
@@ -34,8 +29,12 @@
 
 void Scheduler::clear() {
   queues_.clear();
+  queued_.clear();
+  in_queued_.clear();
   reserved_.clear();
   waiting_.clear();
+  in_waiting_.clear();
+  long_.clear();
   job_times_.clear();
 }
 
@@ -60,21 +59,24 @@
   return allowed(job, m.type, m.zone, m.spot);
 }
 
-bool Scheduler::zone_allows(const Machine& m, const Job& job) const {
-  if (job.spec.one_zone && job.placed > 0 && (m.zone >= job.in_zone.size() || job.in_zone[m.zone] == 0))
-    return false;
-  if (!job.spec.spread) return true;
-  const std::uint32_t here = m.zone < job.in_zone.size() ? job.in_zone[m.zone] : 0;
-  return here + 1 <= (job.spec.tasks + 1) / 2;
+bool Scheduler::zone_allows(Ix zone, const Job& job) const {
+  const std::uint32_t here = zone < job.in_zone.size() ? job.in_zone[zone] : 0;
+  if (job.spec.one_zone && job.placed > 0 && here == 0) return false;
+  return !job.spec.spread || here + 1 <= (job.spec.tasks + 1) / 2;
 }
 
-bool Scheduler::quota_allows(const Job& job) const {
+bool Scheduler::quota_allows(const Job& job, double tasks) const {
   const settings::Team& team = settings_.teams[job.team];
+  if (team.cpus_max <= 0 && team.gpus_max <= 0) return true;
+  // Until every machine is accounted for, an earlier leader's tasks may use quota that is not known here: at
+  // most all that these machines have.
+  const auto unknown = agents_.unaccounted();
+  if (!unknown) return false;
   const wire::Resources& use = agents_.team_use(job.team);
-  // Until every machine is accounted for, an earlier leader's tasks may use quota that is not known here.
-  if ((team.cpus_max > 0 || team.gpus_max > 0) && !agents_.clear()) return false;
-  return (team.cpus_max <= 0 || use.cpus + job.spec.need.cpus <= team.cpus_max + kEps) &&
-         (team.gpus_max <= 0 || use.gpus + job.spec.need.gpus <= team.gpus_max + kEps);
+  return (team.cpus_max <= 0 ||
+          use.cpus + unknown->cpus + tasks * job.spec.need.cpus <= team.cpus_max + kEps) &&
+         (team.gpus_max <= 0 ||
+          use.gpus + unknown->gpus + tasks * job.spec.need.gpus <= team.gpus_max + kEps);
 }
 
 // Whether the job's next task would still be within its team's guarantee.
@@ -85,50 +87,76 @@
          use.gpus + job.spec.need.gpus <= team.gpus + kEps;
 }
 
+// A task that an earlier leader could have started waits until it is known not to run: until every machine
+// that it was allowed on is settled.
+bool Scheduler::accounted(const Job& job) const {
+  if (job.created > token_() || agents_.clear()) return true;
+  return std::none_of(agents_.doubts().begin(), agents_.doubts().end(), [&](const agents::Agents::Doubt& d) {
+    return d.unsettled > 0 && allowed(job, d.type, d.zone, d.spot);
+  });
+}
+
 bool Scheduler::startable(const Job& job) const {
-  // A task that an earlier leader could have started waits until it is known not to run.
-  return job.open() && !job.pending.empty() && out_.now() >= job.not_before &&
-         (job.created > token_() || agents_.clear());
+  return job.open() && !job.pending.empty() && out_.now() >= job.not_before && accounted(job);
 }
 
 bool Scheduler::can_start(const Machine& m, const Job& job, bool ignore_room) const {
   if (!startable(job) || !agents_.may_start(m) || !allowed(m, job)) return false;
   if (!ignore_room && !m.fits(job.spec.need)) return false;
+  if (m.short_only && is_long(job)) return false;
   if (std::find(job.failed_on.begin(), job.failed_on.end(), m.ix) != job.failed_on.end()) return false;
-  return quota_allows(job) && zone_allows(m, job);
+  return quota_allows(job) && zone_allows(m.zone, job);
+}
+
+// In what times the class's jobs should be done, by its objectives.
+const std::vector<double>& Scheduler::objectives(Ix job_class) const {
+  if (within_.size() <= job_class) within_.resize(job_class + 1);
+  auto& times = within_[job_class];
+  if (!times) {
+    times.emplace();
+    for (const auto& o : settings_.objectives) {
+      if (o.kind == "finished" && o.job_class == registry_.classes[job_class]) times->push_back(o.within_s);
+    }
+    std::sort(times->begin(), times->end());
+  }
+  return *times;
 }
 
 // How many of its class's objectives the job cannot meet any more; without any, whether it misses its own
 // deadline.
 int Scheduler::lateness(const Job& job) const {
   const double elapsed = out_.now() - job.seen_at, rest = estimate(job);
-  auto it = within_.find(job.spec.job_class);
-  if (it == within_.end()) return job.spec.deadline_s && elapsed + rest > *job.spec.deadline_s ? 1 : 0;
+  const auto& times = objectives(job.job_class);
+  if (times.empty()) return job.spec.deadline_s && elapsed + rest > *job.spec.deadline_s ? 1 : 0;
   return static_cast<int>(
-      std::count_if(it->second.begin(), it->second.end(), [&](double w) { return elapsed + rest > w; }));
+      std::count_if(times.begin(), times.end(), [&](double w) { return elapsed + rest > w; }));
 }
 
 // When the job should be done: the first of its class's objectives that it can still meet, else its own
 // deadline.
 Seconds Scheduler::due(const Job& job) const {
   const double rest = estimate(job);
-  auto it = within_.find(job.spec.job_class);
-  if (it == within_.end()) return job.seen_at + job.spec.deadline_s.value_or(10 * rest + 60);
+  const auto& times = objectives(job.job_class);
+  if (times.empty()) return job.seen_at + job.spec.deadline_s.value_or(10 * rest + 60);
   const auto missed = static_cast<std::size_t>(lateness(job));
-  return job.seen_at + (missed < it->second.size() ? it->second[missed] : 10 * it->second.back());
+  return job.seen_at + (missed < times.size() ? times[missed] : 10 * times.back());
 }
 
 double Scheduler::work_left(const Job& job) const {
   return (job.spec.tasks - job.done) * job.spec.need.cpus * std::max(1.0, estimate(job));
 }
 
-bool Scheduler::could_move(const Job& job) const {
-  for (const Machine& m : agents_.all()) {
-    const std::uint32_t here = m.zone < job.in_zone.size() ? job.in_zone[m.zone] : 0;
-    const bool spread_ok = !job.spec.spread || here + 1 <= (job.spec.tasks + 1) / 2;
-    if (agents_.may_start(m) && allowed(m, job) && m.fits(job.spec.need) && m.has_image(job.image) &&
-        spread_ok && !refuses_long(m)) {
-      return true;
+bool Scheduler::could_move(const Job& job) {
+  for (const Index::Pool& p : agents_.index().pools()) {
+    if (p.short_only || !allowed(job, p.type, p.zone, p.spot)) continue;
+    const std::uint32_t here = p.zone < job.in_zone.size() ? job.in_zone[p.zone] : 0;
+    if (job.spec.spread && here + 1 > (job.spec.tasks + 1) / 2) continue;
+    const Index::Group* cached = p.with(job.image);
+    if (!cached) continue;
+    auto it = cached->room.lower_bound({job.spec.need.cpus - kEps, 0});
+    for (int n = 0; it != cached->room.end() && n < settings_.tunables.steal_sample; ++it, ++n) {
+      const Machine& m = agents_.at(it->second);
+      if (agents_.may_start(m) && m.fits(job.spec.need)) return true;
     }
   }
   return false;
@@ -149,149 +177,212 @@
 }
 
 // Whether all of a gang's missing tasks find room now: part of a gang would hold its machines for nothing.
-bool Scheduler::gang_fits(const Job& job) const {
-  const settings::Team& team = settings_.teams[job.team];
+bool Scheduler::gang_fits(const Job& job) {
   const auto n = static_cast<double>(job.pending.size());
-  if (team.cpus_max > 0 && agents_.team_use(job.team).cpus + n * job.spec.need.cpus > team.cpus_max + kEps)
-    return false;
-  if (team.gpus_max > 0 && agents_.team_use(job.team).gpus + n * job.spec.need.gpus > team.gpus_max + kEps)
-    return false;
+  if (!quota_allows(job, n)) return false;
   std::unordered_map<Ix, double> zones;
-  for (const Machine& m : agents_.all()) {
-    if (!can_start(m, job) || refuses_long(m)) continue;
-    double room = n;
-    auto bound = [&room](double free, double need) {
-      if (need > 0) room = std::min(room, std::floor((free + kEps) / need));
-    };
-    bound(m.cpus - m.used.cpus, job.spec.need.cpus);
-    bound(m.gpus - m.used.gpus, job.spec.need.gpus);
-    bound(m.memory_gb - m.used.memory_gb, job.spec.need.memory_gb);
-    zones[job.spec.one_zone ? m.zone : 0] += room;
+  for (const Index::Pool& p : agents_.index().pools()) {
+    if (p.short_only || !allowed(job, p.type, p.zone, p.spot)) continue;
+    double& found = zones[job.spec.one_zone ? p.zone : 0];
+    for (auto it = p.all.room.lower_bound({job.spec.need.cpus - kEps, 0});
+         it != p.all.room.end() && found < n; ++it) {
+      const Machine& m = agents_.at(it->second);
+      ++machines_examined_;
+      if (!can_start(m, job)) continue;
+      double room = n;
+      auto bound = [&room](double free, double need) {
+        if (need > 0) room = std::min(room, std::floor((free + kEps) / need));
+      };
+      bound(m.cpus - m.used.cpus, job.spec.need.cpus);
+      bound(m.gpus - m.used.gpus, job.spec.need.gpus);
+      bound(m.memory_gb - m.used.memory_gb, job.spec.need.memory_gb);
+      found += room;
+    }
   }
   return std::any_of(zones.begin(), zones.end(), [n](const auto& z) { return z.second >= n; });
 }
 
-bool Scheduler::refuses_long(const Machine& m) const {
-  // Spot machines take no services anyway and so are the natural short partition; ordinary ones make up the
-  // rest.
-  std::size_t spot = 0, all = 0, rank = 0;
-  for (const Machine& o : agents_.all()) {
-    if (o.gone || !o.reporting) continue;
-    ++all;
-    if (o.spot) ++spot;
-    if (!o.spot && o.ix < m.ix) ++rank;
+// Hawk's short partition: some machines refuse long tasks. Spot machines take no services anyway and so are its
+// natural part; ordinary ones make up the rest, the longest known first.
+void Scheduler::partition() {
+  std::size_t spot = 0, all = 0;
+  for (const Ix ix : agents_.live()) {
+    const Machine& m = agents_.at(ix);
+    all += m.reporting;
+    spot += m.reporting && m.spot;
   }
   const auto wanted = static_cast<std::size_t>(settings_.tunables.short_partition * static_cast<double>(all));
-  if (wanted == 0) return false;
-  if (m.spot) return spot <= wanted;
-  return spot < wanted && rank < wanted - spot;
+  std::size_t ordinary = spot < wanted ? wanted - spot : 0;
+  for (const Ix ix : agents_.live()) {
+    Machine& m = agents_.at(ix);
+    bool refuses = m.spot && wanted > 0 && spot <= wanted;
+    if (!m.spot && m.reporting && ordinary > 0) refuses = true, --ordinary;
+    if (refuses == m.short_only) continue;
+    m.short_only = refuses;
+    agents_.changed(m);
+  }
 }
 
 // ---------------------------------------------------------------- short tasks
 
+void Scheduler::waits(Job& job) {
+  if (in_waiting_.size() <= job.ix) in_waiting_.resize(job.ix + 1);
+  if (in_waiting_[job.ix]) return;
+  in_waiting_[job.ix] = true;
+  waiting_.push_back(job.ix);
+  if (is_long(job)) long_.push_back(job.ix);
+}
+
 void Scheduler::arrived(Job& job) {
-  if (std::find(waiting_.begin(), waiting_.end(), job.ix) == waiting_.end()) waiting_.push_back(job.ix);
+  if (job.pending.empty()) return;
+  waits(job);
   if (!startable(job)) return;
-  if (is_long(job)) return place_long();
-  const std::uint32_t have = reserved_[job.ix];
+  if (is_long(job)) return place_long(job);
   const auto missing = static_cast<std::uint32_t>(job.pending.size());
-  if (have < missing) reserve(job, missing);
+  if (reserved_[job.ix] < missing) reserve(job, missing);
+}
+
+void Scheduler::cancel_reservation(Ix job, std::uint32_t tasks) {
+  auto it = reserved_.find(job);
+  if (it != reserved_.end()) it->second -= std::min(it->second, tasks);
 }
 
 void Scheduler::reserve(Job& job, std::uint32_t tasks) {
-  std::vector<Machine*> fit;
-  for (Machine& m : agents_.all()) {
-    if (agents_.may_start(m) && allowed(m, job) && zone_allows(m, job)) fit.push_back(&m);
+  // Members of the pools that the job may use, as one list to draw from.
+  std::vector<const std::vector<Ix>*> lists;
+  std::size_t total = 0;
+  for (const Index::Pool& p : agents_.index().pools()) {
+    if (!allowed(job, p.type, p.zone, p.spot) || !zone_allows(p.zone, job) || p.all.members.empty()) continue;
+    lists.push_back(&p.all.members);
+    total += p.all.members.size();
   }
-  if (fit.empty()) return;
+  if (total == 0) return;
   const auto probes = static_cast<std::uint32_t>(std::ceil(tasks * settings_.tunables.reservations_per_task));
-  std::unordered_map<Machine*, std::uint32_t> sample;
-  for (std::uint32_t i = 0; i < probes; ++i) ++sample[fit[rng_(static_cast<std::uint32_t>(fit.size()))]];
-  std::vector<Machine*> order;
-  for (Machine* m : fit) {
-    auto it = sample.find(m);
-    if (it == sample.end()) continue;
-    queues_[m->ix].push_back({job.ix, it->second});
-    reserved_[job.ix] += it->second;
-    order.push_back(m);
+  std::unordered_map<Ix, std::uint32_t> sample;
+  for (std::uint32_t i = 0; i < probes; ++i) {
+    std::size_t at = rng_(static_cast<std::uint32_t>(total));
+    for (const auto* list : lists) {
+      if (at < list->size()) {
+        ++sample[(*list)[at]];
+        break;
+      }
+      at -= list->size();
+    }
+  }
+  struct Probe {
+    double wait;
+    Ix machine;
+  };
+  std::vector<Probe> order;
+  for (const auto& [ix, n] : sample) {
+    if (queues_.size() <= ix) queues_.resize(ix + 1), in_queued_.resize(ix + 1);
+    queues_[ix].push_back({job.ix, n});
+    if (!in_queued_[ix]) in_queued_[ix] = true, queued_.push_back(ix);
+    reserved_[job.ix] += n;
+    ++machines_examined_;
+    const Machine& m = agents_.at(ix);
+    if (m.fits(job.spec.need)) order.push_back({waiting(m, job), ix});
   }
   // All queues are in this process, so the sampled machines are asked in the order in which they could begin.
-  std::sort(order.begin(), order.end(), [&](Machine* a, Machine* b) {
-    const double wa = waiting(*a, job), wb = waiting(*b, job);
-    return wa != wb ? wa < wb : a->ix < b->ix;
+  std::sort(order.begin(), order.end(), [](const Probe& a, const Probe& b) {
+    return a.wait != b.wait ? a.wait < b.wait : a.machine < b.machine;
   });
-  for (Machine* m : order) {
+  for (const Probe& p : order) {
     if (job.pending.empty()) break;
-    serve(*m);
+    serve(agents_.at(p.machine));
   }
 }
 
 // The waiting long job that comes first among those that could start here.
-Job* Scheduler::first_long(const Machine& m) const {
-  Job* best = nullptr;
-  if (refuses_long(m)) return best;
-  for (const Ix ix : waiting_) {
+Job* Scheduler::first_long(const Machine& m) {
+  if (m.short_only) return nullptr;
+  for (const Ix ix : long_) {
     Job* job = registry_.at(ix);
-    if (!job || job->pending.empty() || job->gang() || !is_long(*job) || !can_start(m, *job)) continue;
-    if (!best || before(*job, *best)) best = job;
+    if (!job || job->pending.empty() || job->gang()) continue;
+    ++jobs_examined_;
+    if (can_start(m, *job)) return job;
   }
-  return best;
+  return nullptr;
+}
+
+void Scheduler::start(Machine& m, Job& job) {
+  ++started_;
+  agents_.start(m, job, job.pending.back());
 }
 
 // Starts the task that comes first of those that wait for room here: in the machine's queue, or long.
 bool Scheduler::serve_once(Machine& m) {
   Job* first = first_long(m);
+  if (queues_.size() <= m.ix) queues_.resize(m.ix + 1), in_queued_.resize(m.ix + 1);
   auto& queue = queues_[m.ix];
   // Late binding: a reservation whose job has nothing left to start is dropped.
   std::erase_if(queue, [&](const Reservation& r) {
     const Job* job = registry_.at(r.job);
     const bool over = !job || !job->open() || job->pending.empty();
-    if (over) reserved_[r.job] -= std::min(reserved_[r.job], r.tasks);
+    if (over) cancel_reservation(r.job, r.tasks);
     return over;
   });
   std::size_t best = queue.size();
   for (std::size_t i = 0; i < queue.size(); ++i) {
     Job& job = *registry_.at(queue[i].job);
+    ++jobs_examined_;
     if (!can_start(m, job) || (first && !before(job, *first))) continue;
     first = &job;
     best = i;
   }
   if (!first) return false;
-  agents_.start(m, *first, first->pending.back());
+  start(m, *first);
   if (best == queue.size()) return true;
-  reserved_[first->ix] -= std::min(reserved_[first->ix], 1U);
+  cancel_reservation(first->ix, 1);
   if (--queue[best].tasks == 0) queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(best));
   return true;
 }
 
 void Scheduler::serve(Machine& m) {
+  ++machines_examined_;
   if (!agents_.may_start(m)) return;
-  while (true) {
+  while (m.cpus - m.used.cpus > kEps) {
     if (!serve_once(m) && !steal(m)) return;
   }
 }
 
 // An idle machine looks at some others and takes the first short group that waits there and could run here.
 bool Scheduler::steal(Machine& m) {
-  const auto n = static_cast<std::uint32_t>(agents_.all().size());
-  if (n < 2) return false;
-  for (int i = 0; i < settings_.tunables.steal_sample; ++i) {
-    const Ix victim = rng_(n);
-    auto it = queues_.find(victim);
-    if (victim == m.ix || it == queues_.end()) continue;
-    auto& queue = it->second;
+  for (int i = 0; i < settings_.tunables.steal_sample && !queued_.empty(); ++i) {
+    const std::size_t at = rng_(static_cast<std::uint32_t>(queued_.size()));
+    const Ix victim = queued_[at];
+    auto& queue = queues_[victim];
+    if (queue.empty()) {
+      in_queued_[victim] = false;
+      queued_[at] = queued_.back();
+      queued_.pop_back();
+      continue;
+    }
+    if (victim == m.ix) continue;
     for (std::size_t q = 0; q < queue.size(); ++q) {
       const Job* job = registry_.at(queue[q].job);
+      ++jobs_examined_;
       if (!job || !can_start(m, *job)) continue;
       const Reservation group = queue[q];
       queue.erase(queue.begin() + static_cast<std::ptrdiff_t>(q));
       queues_[m.ix].push_back(group);
+      if (!in_queued_[m.ix]) in_queued_[m.ix] = true, queued_.push_back(m.ix);
       return true;
     }
   }
   return false;
 }
 
+// Stealing seen from the other side: tasks whose sampled machines are full go where there is room. Sampling
+// alone leaves much of it unused, since only a few of so many machines have any.
+void Scheduler::place_short(Job& job) {
+  while (startable(job)) {
+    Machine* m = least_waiting(job);
+    if (!m) return;
+    start(*m, job);
+  }
+}
+
 // ---------------------------------------------------------------- long tasks
 
 // Seconds until a task of the job could begin here: the fetch, and what is queued ahead of it. Between
@@ -299,100 +390,127 @@
 // returned.
 double Scheduler::waiting(const Machine& m, const Job& job) const {
   double s = 0;
+  double same_job = 0;
+  bool fetching = false;
+  for (const Slot& slot : m.slots) {
+    if (slot.job != job.ix || !slot.counted) continue;
+    ++same_job;
+    fetching |= slot.phase == Slot::Phase::fetching;
+  }
   if (!m.has_image(job.image) && m.type < catalog_.size() && catalog_[m.type].fetch_gb_per_s > 0) {
     s += job.spec.image_gb / catalog_[m.type].fetch_gb_per_s;
-    for (const Slot& slot : m.slots) {
-      if (slot.job == job.ix && slot.phase == Slot::Phase::fetching) s *= 0.5;  // on its way already
-    }
+    if (fetching) s *= 0.5;  // on its way already
   }
-  double same_job = 0;
-  for (const Slot& slot : m.slots) same_job += slot.job == job.ix && slot.counted;
   if (job.service()) s += same_job * 2.0;
   s *= std::max(1.0, m.slowness);
   return s + 0.2 * (1 - m.used.cpus / std::max(m.cpus, 1.0));
 }
 
-Machine* Scheduler::least_waiting(const Job& job) {
+Machine* Scheduler::least_waiting(const Job& job, bool cached_only) {
   Machine* best = nullptr;
   double best_wait = 0;
-  for (Machine& m : agents_.all()) {
-    if (!can_start(m, job) || refuses_long(m)) continue;
-    const double wait = waiting(m, job);
-    if (!best || wait < best_wait) best = &m, best_wait = wait;
+  const bool is_long_job = is_long(job);
+  auto look = [&](const Index::Group& group) {
+    auto it = group.room.lower_bound({job.spec.need.cpus - kEps, 0});
+    for (int n = 0; it != group.room.end() && n < settings_.tunables.steal_sample; ++it) {
+      Machine& m = agents_.at(it->second);
+      ++machines_examined_;
+      ++n;
+      if (!can_start(m, job)) continue;
+      const double wait = waiting(m, job);
+      if (!best || wait < best_wait) best = &m, best_wait = wait;
+    }
+  };
+  for (const bool cached : {true, false}) {
+    for (const Index::Pool& p : agents_.index().pools()) {
+      if ((p.short_only && is_long_job) || !allowed(job, p.type, p.zone, p.spot) || !zone_allows(p.zone, job))
+        continue;
+      const Index::Group* with = p.with(job.image);
+      if (cached && with) look(*with);
+      if (!cached) look(p.all);
+    }
+    if (best || cached_only) break;
   }
   return best;
 }
 
-void Scheduler::place_long() {
-  std::vector<Job*> list;
-  for (const Ix ix : waiting_) {
-    Job* job = registry_.at(ix);
-    if (job && startable(*job) && is_long(*job)) list.push_back(job);
-  }
-  std::sort(list.begin(), list.end(), [this](const Job* a, const Job* b) { return before(*a, *b); });
-  for (Job* job : list) {
-    // One that lost a task starts again as a whole, once the others have noticed and ended.
-    if (job->gang() && (job->placed > 0 || !gang_fits(*job))) continue;
-    while (startable(*job)) {
-      Machine* m = least_waiting(*job);
-      // A service need not wait for a fetch if a lower task holds its place on a machine that has the image.
-      constexpr double kFetchWorthPreempting = 1.0;
-      if (m && job->service() && waiting(*m, *job) > kFetchWorthPreempting && preempt_for(*job, true))
-        continue;
-      if (m) {
-        agents_.start(*m, *job, job->pending.back());
-      } else if (!preempt_for(*job, false)) {
-        break;
-      }
+void Scheduler::place_long(Job& job) {
+  // A gang that lost a task starts again as a whole, once the others have noticed and ended.
+  if (job.gang() && (job.placed > 0 || !gang_fits(job))) return;
+  while (startable(job)) {
+    Machine* m = least_waiting(job);
+    // A service need not wait for a fetch if a lower task holds its place on a machine that has the image.
+    constexpr double kFetchWorthPreempting = 1.0;
+    if (job.service() && (!m || waiting(*m, job) > kFetchWorthPreempting) && preempt_for(job, true)) continue;
+    if (m) {
+      start(*m, job);
+    } else if (!preempt_for(job, false)) {
+      return;
     }
   }
 }
 
-// Makes room for a task of higher priority by stopping lower ones on one machine, and starts it there.
-bool Scheduler::preempt_for(Job& job, bool cached_only) {
-  if (!startable(job) || fails_everywhere(job)) return false;
-  Machine* best = nullptr;
-  double best_cost = 0;
-  std::vector<std::size_t> best_victims;
-  for (Machine& m : agents_.all()) {
-    if (!can_start(m, job, true) || (cached_only && !m.has_image(job.image))) continue;
+void Scheduler::consider_preempting(const Index::Group& group, const Job& job, Preemption& best) {
+  if (group.members.empty()) return;
+  const Seconds now = out_.now();
+  for (int i = 0; i < 2 * settings_.tunables.steal_sample; ++i) {
+    Machine& m = agents_.at(group.members[rng_(static_cast<std::uint32_t>(group.members.size()))]);
+    ++machines_examined_;
+    if (!can_start(m, job, true)) continue;
     // Youngest first: that loses the least work.
     std::vector<std::size_t> order;
-    for (std::size_t i = 0; i < m.slots.size(); ++i) {
-      const Slot& s = m.slots[i];
-      const Job* other = registry_.at(s.job);
-      if (!other || !s.counted || s.stop || other->spec.priority >= job.spec.priority) continue;
+    for (std::size_t s = 0; s < m.slots.size(); ++s) {
+      const Slot& slot = m.slots[s];
+      const Job* other = registry_.at(slot.job);
+      if (!other || !slot.counted || slot.stop || other->spec.priority >= job.spec.priority) continue;
       if (other->spec.checkpoint_s > 0 && other->spec.save_s > 0)
         continue;  // its saving would take too long here
-      order.push_back(i);
+      order.push_back(s);
     }
-    const Seconds now = out_.now();
-    auto age = [&](std::size_t i) {
-      return m.slots[i].running_since > 0 ? now - m.slots[i].running_since : 0.0;
+    auto age = [&](std::size_t s) {
+      return m.slots[s].running_since > 0 ? now - m.slots[s].running_since : 0.0;
     };
     std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return age(a) < age(b); });
-    wire::Resources used = m.used;
+    Machine after;  // only its sizes matter
+    after.cpus = m.cpus, after.gpus = m.gpus, after.memory_gb = m.memory_gb, after.used = m.used;
     std::vector<std::size_t> victims;
-    double cost = m.has_image(job.image) ? 0 : 10;
-    auto fits = [&] {
-      return used.cpus + job.spec.need.cpus <= m.cpus + kEps &&
-             used.gpus + job.spec.need.gpus <= m.gpus + kEps &&
-             used.memory_gb + job.spec.need.memory_gb <= m.memory_gb + kEps;
-    };
-    for (const std::size_t i : order) {
-      if (fits()) break;
-      used.cpus -= m.slots[i].need.cpus;
-      used.gpus -= m.slots[i].need.gpus;
-      used.memory_gb -= m.slots[i].need.memory_gb;
-      cost += 1 + age(i);
-      victims.push_back(i);
+    double cost = waiting(m, job) * 5;
+    for (const std::size_t s : order) {
+      if (after.fits(job.spec.need)) break;
+      after.used.cpus -= m.slots[s].need.cpus;
+      after.used.gpus -= m.slots[s].need.gpus;
+      after.used.memory_gb -= m.slots[s].need.memory_gb;
+      cost += 1 + age(s);
+      victims.push_back(s);
     }
-    if (!fits() || victims.empty()) continue;
-    if (!best || cost < best_cost) best = &m, best_cost = cost, best_victims = victims;
+    if (victims.empty() || !after.fits(job.spec.need)) continue;
+    if (!best.where || cost < best.cost) best = {&m, cost, victims};
   }
-  if (!best) return false;
-  for (const std::size_t i : best_victims) agents_.stop(*best, best->slots[i], 0);
-  agents_.start(*best, job, job.pending.back());
+}
+
+// Makes room for a task of higher priority by stopping lower ones on one machine, and starts it there.
+bool Scheduler::preempt_for(Job& job, bool cached_only) {
+  // When all that runs is as important, every search is in vain; a few a pass notice when that changes.
+  if (vain_ >= settings_.tunables.steal_sample || !startable(job) || fails_everywhere(job)) return false;
+  Preemption best;
+  for (const bool cached : {true, false}) {
+    for (const Index::Pool& p : agents_.index().pools()) {
+      if ((p.short_only && is_long(job)) || !allowed(job, p.type, p.zone, p.spot) ||
+          !zone_allows(p.zone, job)) {
+        continue;
+      }
+      const Index::Group* with = p.with(job.image);
+      if (cached && with) consider_preempting(*with, job, best);
+      if (!cached) consider_preempting(p.all, job, best);
+    }
+    if (best.where || cached_only) break;
+  }
+  if (!best.where) {
+    ++vain_;
+    return false;
+  }
+  for (const std::size_t s : best.victims) agents_.stop(*best.where, best.where->slots[s], 0);
+  start(*best.where, job);
   return true;
 }
 
@@ -402,42 +520,74 @@
   return !job.service() && !job.ever_ok && job.errors >= 3;
 }
 
+// Stops the victim's youngest tasks whose room the job can use; returns how many.
+std::size_t Scheduler::reclaim_from(Job& victim, Job& job) {
+  struct Found {
+    Seconds since;
+    Ix machine;
+    std::uint32_t task;
+  };
+  std::vector<Found> found;
+  for (std::uint32_t i = 0; i < victim.tasks.size(); ++i) {
+    if (victim.tasks[i].state != jobs::TaskState::placed) continue;
+    Machine& m = agents_.at(victim.tasks[i].machine);
+    ++machines_examined_;
+    if (!can_start(m, job, true) || m.fits(job.spec.need)) continue;
+    for (const Slot& s : m.slots) {
+      if (s.job == victim.ix && s.task == i && s.counted && !s.stop)
+        found.push_back({s.running_since, m.ix, i});
+    }
+  }
+  std::sort(found.begin(), found.end(), [](const Found& a, const Found& b) { return a.since > b.since; });
+  std::size_t stopped = 0;
+  const settings::Team& team = settings_.teams[victim.team];
+  for (const Found& f : found) {
+    if (!under_guarantee(job) || !startable(job)) break;
+    if (agents_.team_use(victim.team).cpus <= team.cpus + kEps) break;
+    Machine& m = agents_.at(f.machine);
+    if (!can_start(m, job, true)) continue;
+    const bool saves = victim.spec.checkpoint_s > 0;
+    for (Slot& s : m.slots) {
+      if (s.job == victim.ix && s.task == f.task && s.counted) {
+        agents_.stop(m, s, saves ? victim.spec.save_s + 1 : 0);
+        ++stopped;
+        break;
+      }
+    }
+    if (!saves) start(m, job);
+  }
+  return stopped;
+}
+
 // A team below its guarantee gets it from those that run beyond theirs.
 void Scheduler::reclaim_guarantees() {
   constexpr Seconds kPatience = 3;  // tasks end all the time; stopping one throws its work away
-  for (const Ix ix : waiting_) {
+  // Jobs of teams beyond their guarantee, the one that comes last first.
+  std::optional<std::vector<Job*>> victims;
+  for (const Ix ix : std::vector<Ix>(waiting_)) {
     Job* job = registry_.at(ix);
-    if (!job || !startable(*job) || !under_guarantee(*job) || out_.now() - job->seen_at < kPatience) continue;
+    if (!job || !under_guarantee(*job) || !startable(*job) || out_.now() - job->seen_at < kPatience) continue;
     if (fails_everywhere(*job)) continue;
     if (settings_.teams[job->team].cpus <= 0 && settings_.teams[job->team].gpus <= 0) continue;
-    while (under_guarantee(*job) && startable(*job)) {
-      // Over all machines the task whose job comes last, and of these the youngest. Going by machine instead
-      // hit a small job that sat together on the first one again and again.
-      Machine* where = nullptr;
-      Slot* victim = nullptr;
-      for (Machine& m : agents_.all()) {
-        if (!can_start(m, *job, true) || m.fits(job->spec.need)) continue;
-        for (Slot& s : m.slots) {
-          const Job* other = registry_.at(s.job);
-          if (!other || !s.counted || s.stop || other->team == job->team || other->service()) continue;
-          const settings::Team& team = settings_.teams[other->team];
-          if (agents_.team_use(other->team).cpus <= team.cpus + kEps) continue;
-          if (s.need.cpus + kEps < job->spec.need.cpus ||
-              s.need.memory_gb + kEps < job->spec.need.memory_gb ||
-              s.need.gpus + kEps < job->spec.need.gpus) {
-            continue;
-          }
-          const Job* last = victim ? registry_.at(victim->job) : nullptr;
-          const bool worse =
-              !last || (last == other ? s.running_since > victim->running_since : before(*last, *other));
-          if (worse) victim = &s, where = &m;
-        }
-      }
-      if (!victim) break;
-      const Job& other = *registry_.at(victim->job);
-      const bool saves = other.spec.checkpoint_s > 0;
-      agents_.stop(*where, *victim, saves ? other.spec.save_s + 1 : 0);
-      if (!saves) agents_.start(*where, *job, job->pending.back());
+    if (!victims) {
+      victims.emplace();
+      registry_.each([&](Job& other) {
+        if (other.placed > 0 && !other.service() &&
+            agents_.team_use(other.team).cpus > settings_.teams[other.team].cpus + kEps)
+          victims->push_back(&other);
+      });
+      std::sort(victims->begin(), victims->end(),
+                [this](const Job* a, const Job* b) { return before(*b, *a); });
+    }
+    // Over all machines a task of the job that comes last, and of these the youngest. Going by machine instead
+    // hit a small job that sat together on the first one again and again.
+    for (Job* victim : *victims) {
+      if (!under_guarantee(*job) || !startable(*job)) break;
+      const wire::Resources &has = victim->spec.need, &needs = job->spec.need;
+      if (victim->team == job->team || has.cpus + kEps < needs.cpus || has.gpus + kEps < needs.gpus ||
+          has.memory_gb + kEps < needs.memory_gb)
+        continue;
+      reclaim_from(*victim, *job);
     }
   }
 }
@@ -445,16 +595,27 @@
 // ---------------------------------------------------------------- events
 
 void Scheduler::room(Machine& m) {
-  if (!agents_.may_start(m) || waiting_.empty()) return;
+  if (waiting_.empty() || !agents_.may_start(m)) return;
   serve(m);
 }
 
+void Scheduler::gone(Machine& m) {
+  if (queues_.size() <= m.ix) return;
+  for (const Reservation& r : std::exchange(queues_[m.ix], {})) cancel_reservation(r.job, r.tasks);
+}
+
+void Scheduler::over(const Job& job) {
+  reserved_.erase(job.ix);
+  job_times_.erase(job.ix);
+}
+
 void Scheduler::exited(Machine& m, const Slot& slot) {
   Job* job = registry_.at(slot.job);
   if (!job) return;
   const Seconds now = out_.now();
   if (slot.cause == wire::Cause::done) {
     m.failed_jobs.clear();
+    if (m.health != agents::Health::good) agents_.changed(m);
     m.health = agents::Health::good;
     job->ever_ok = true;
     const double took = now - slot.running_since;
@@ -492,7 +653,7 @@
         m.failed_jobs.push_back(job->ix);
       }
       // One failure may be the job's; until more is known the machine gets nothing new.
-      m.doubt_until = now + 15;
+      agents_.doubt_until(m, now + 15);
       if (m.failed_jobs.size() >= 2 || (job->ever_ok && job->errors >= 1)) {
         if (m.health != agents::Health::bad) spdlog::warn("{}: suspected to be faulty", m.host);
         m.health = agents::Health::bad;
@@ -503,40 +664,48 @@
     // Refused: the machine holds something unknown here, or the job's description is not there yet.
     job->not_before = now + 0.5;
   }
+  agents_.changed(m);
   arrived(*job);
 }
 
 void Scheduler::pass() {
+  vain_ = 0;
+  const bool second = out_.now() - last_second_ >= 1;
+  if (second) {
+    last_second_ = out_.now();
+    partition();
+  }
   std::erase_if(waiting_, [this](Ix ix) {
     const Job* job = registry_.at(ix);
-    const bool over = !job || !job->open() || (job->pending.empty() && job->placed == 0);
-    if (over) reserved_.erase(ix), job_times_.erase(ix);
+    const bool over = !job || !job->open() || job->pending.empty();
+    if (over) in_waiting_[ix] = false;
     return over;
   });
-  for (auto it = queues_.begin(); it != queues_.end();) {
-    const Machine& m = agents_.at(it->first);
-    if (m.gone || !m.reporting) {  // its reservations go elsewhere below
-      for (const Reservation& r : it->second) reserved_[r.job] -= std::min(reserved_[r.job], r.tasks);
-      it = queues_.erase(it);
-    } else {
-      ++it;
+  long_.clear();
+  std::vector<Job*> short_jobs;
+  for (const Ix ix : waiting_) {
+    Job* job = registry_.at(ix);
+    ++jobs_examined_;
+    if (is_long(*job)) {
+      long_.push_back(ix);
+    } else if (startable(*job)) {
+      short_jobs.push_back(job);
     }
   }
-  bool any = false;
-  for (std::size_t i = 0; i < waiting_.size(); ++i) {
-    Job& job = *registry_.at(waiting_[i]);
-    if (!startable(job)) continue;
-    any = true;
-    const auto missing = static_cast<std::uint32_t>(job.pending.size());
-    if (!is_long(job) && reserved_[job.ix] < missing) reserve(job, missing - reserved_[job.ix]);
-  }
-  if (!any) return;
-  for (Machine& m : agents_.all()) serve(m);
-  place_long();
-  if (out_.now() - last_reclaim_ >= 1) {
-    last_reclaim_ = out_.now();
-    reclaim_guarantees();
+  std::sort(long_.begin(), long_.end(),
+            [this](Ix a, Ix b) { return before(*registry_.at(a), *registry_.at(b)); });
+  for (const Ix ix : std::vector<Ix>(long_)) {
+    Job* job = registry_.at(ix);
+    if (job && startable(*job)) place_long(*job);
+  }
+  std::sort(short_jobs.begin(), short_jobs.end(),
+            [this](const Job* a, const Job* b) { return before(*a, *b); });
+  for (Job* job : short_jobs) {
+    place_short(*job);
+    const auto missing = static_cast<std::uint32_t>(job->pending.size());
+    if (missing > 0 && reserved_[job->ix] < missing) reserve(*job, missing - reserved_[job->ix]);
   }
+  if (second && !waiting_.empty()) reclaim_guarantees();
 }
 
 Scheduler::Demand Scheduler::demand(Seconds boot_s) {
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -11,6 +11,7 @@
 
 namespace wingtrail::sched {
 
+using agents::Index;
 using agents::Machine;
 using agents::Slot;
 using jobs::Ix;
@@ -25,7 +26,10 @@
   void clear();
 
   void arrived(Job& job);  // it has tasks to place
+  void waits(Job& job);    // the same, to be placed with the next pass
   void room(Machine& m);   // something ended on the machine, or it is new
+  void gone(Machine& m);
+  void over(const Job& job);
   void exited(Machine& m, const Slot& slot);
   void pass();  // what no event brings about: retries, lost reservations, preemption
 
@@ -40,37 +44,56 @@
   };
   Demand demand(Seconds boot_s);
   // Whether a machine with the job's image has room for one more of its tasks.
-  bool could_move(const Job& job) const;
+  bool could_move(const Job& job);
   bool allowed(const Machine& m, const Job& job) const;
   bool allowed(const Job& job, Ix type, Ix zone, bool spot) const;
+  // Jobs with tasks that wait for a machine.
+  const std::vector<Ix>& waiting() const { return waiting_; }
+  // How many machines and jobs were looked at, for what was started; to show that neither grows with the fleet.
+  std::uint64_t machines_examined() const { return machines_examined_; }
+  std::uint64_t jobs_examined() const { return jobs_examined_; }
+  std::uint64_t started() const { return started_; }
 
  private:
   struct Reservation {
     Ix job;
     std::uint32_t tasks;
   };
+  struct Preemption {  // what a task could be started behind
+    Machine* where = nullptr;
+    double cost = 0;
+    std::vector<std::size_t> victims;
+  };
   bool startable(const Job& job) const;
+  bool accounted(const Job& job) const;
   bool can_start(const Machine& m, const Job& job, bool ignore_room = false) const;
-  bool quota_allows(const Job& job) const;
-  bool zone_allows(const Machine& m, const Job& job) const;
+  bool quota_allows(const Job& job, double tasks = 1) const;
+  bool zone_allows(Ix zone, const Job& job) const;
   bool under_guarantee(const Job& job) const;
   bool before(const Job& a, const Job& b) const;
-  bool gang_fits(const Job& job) const;
+  bool gang_fits(const Job& job);
   bool fails_everywhere(const Job& job) const;
-  bool refuses_long(const Machine& m) const;
   void reserve(Job& job, std::uint32_t tasks);
-  Job* first_long(const Machine& m) const;
+  void cancel_reservation(Ix job, std::uint32_t tasks);
+  Job* first_long(const Machine& m);
+  const std::vector<double>& objectives(Ix job_class) const;
   Seconds due(const Job& job) const;
   int lateness(const Job& job) const;
   double work_left(const Job& job) const;
+  void start(Machine& m, Job& job);
   bool serve_once(Machine& m);
   void serve(Machine& m);
   bool steal(Machine& m);
-  void place_long();
-  Machine* least_waiting(const Job& job);
+  void place_long(Job& job);
+  void place_short(Job& job);
+  // The machine where the job could begin soonest, of some that have its image and some others.
+  Machine* least_waiting(const Job& job, bool cached_only = false);
   double waiting(const Machine& m, const Job& job) const;
   bool preempt_for(Job& job, bool cached_only);
+  void consider_preempting(const Index::Group& group, const Job& job, Preemption& best);
   void reclaim_guarantees();
+  std::size_t reclaim_from(Job& victim, Job& job);
+  void partition();
 
   ports::Outbox& out_;
   const settings::Settings& settings_;
@@ -79,17 +102,23 @@
   std::function<std::uint64_t()> token_;
   pcg32 rng_;
   std::vector<wire::MachineType> catalog_;
-  std::unordered_map<Ix, std::vector<Reservation>> queues_;  // by machine
-  std::unordered_map<Ix, std::uint32_t> reserved_;           // by job
-  std::vector<Ix> waiting_;                                  // jobs with tasks to place
+  std::vector<std::vector<Reservation>> queues_;    // by machine
+  std::vector<Ix> queued_;                          // machines with reservations, and some without
+  std::vector<bool> in_queued_;
+  std::unordered_map<Ix, std::uint32_t> reserved_;  // by job
+  std::vector<Ix> waiting_;                         // jobs with tasks to place
+  std::vector<bool> in_waiting_;                    // by job
+  std::vector<Ix> long_;                            // of these the long ones, in the order as of the last pass
   struct ClassStats {
     double ratio = 1;
     int samples = 0;
   };
   std::vector<ClassStats> classes_;
-  std::unordered_map<std::string, std::vector<double>> within_;  // by class: in what time jobs should be done
-  std::unordered_map<Ix, std::pair<double, int>> job_times_;     // mean run time of a job's completed tasks
-  Seconds last_reclaim_ = 0;
+  mutable std::vector<std::optional<std::vector<double>>> within_;  // by class: times to be done in
+  std::unordered_map<Ix, std::pair<double, int>> job_times_;  // mean run time of a job's completed tasks
+  Seconds last_second_ = 0;
+  int vain_ = 0;  // preemptions sought in vain in this pass
+  std::uint64_t machines_examined_ = 0, jobs_examined_ = 0, started_ = 0;
 };
 
 }  // namespace wingtrail::sched
