--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -27,17 +27,27 @@
   return seed;
 }
 
-// A part of the sockets for each use, so that no one use can starve the others; a margin stays unused.
+// A part of the sockets for each use, so that no one use can starve the others. Workers hold one each at the
+// leader, so users and workers get most of them; what is left over is for the listeners and the loop.
+constexpr double kCallShare = 0.12, kPeerShare = 0.03, kSpareShare = 0.03, kClientShare = 0.8;
+
+std::size_t share(const settings::Settings& s, double part, double least) {
+  return static_cast<std::size_t>(std::max(least, s.max_connections * part));
+}
 net::ServerLimits client_limits(const settings::Settings& s) {
   net::ServerLimits l;
   l.max_body = wire::kMaxBody;
-  l.max_connections = static_cast<std::size_t>(s.max_connections * 6 / 10);
+  l.max_connections = share(s, kClientShare, 16);
+  l.spare = share(s, kSpareShare, 4);
+  // Workers report every report_s and users ask about as often: one that is silent for several times that has
+  // gone without a word, and its socket is needed.
+  l.idle_s = std::max(15.0, 4 * s.report_s);
   return l;
 }
 net::ServerLimits peer_limits(const settings::Settings& s) {
   net::ServerLimits l;
   l.max_body = 2 * wire::kMaxBody;
-  l.max_connections = static_cast<std::size_t>(std::max(8, s.max_connections / 10));
+  l.max_connections = share(s, kPeerShare, 8);
   return l;
 }
 
@@ -47,7 +57,7 @@
     : settings_(std::move(settings)),
       scope_(loop_),
       node_(settings_, random_seed()),
-      client_(scope_, static_cast<std::size_t>(settings_.max_connections * 2 / 10), kMaxAnswer),
+      client_(scope_, share(settings_, kCallShare, 16), kMaxAnswer),
       client_server_(scope_, settings_.client_listen.host, settings_.client_listen.port,
                      client_limits(settings_), [this](net::Request r) { return serve_client(std::move(r)); }),
       peer_server_(scope_, settings_.peer_listen.host, settings_.peer_listen.port, peer_limits(settings_),
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -94,7 +94,9 @@
 
 // `first_byte` is the deadline until a message begins; from then on it has `message_s` more.
 Co<Got> read_message(Io& io, Scope& scope, Parser& parser, Seconds first_byte, Seconds message_s) {
-  char buffer[kChunk];
+  // One buffer for all routines: nothing is kept in it across a wait, and a frame of its own for each of a
+  // thousand idle connections would be many megabytes.
+  static thread_local char buffer[kChunk];
   Seconds deadline = first_byte;
   while (!parser.complete) {
     const Woke woke = co_await io.wait_readable(scope, deadline);
@@ -204,8 +206,8 @@
   while (!scope_.cancelled()) {
     const int fd = accept4(listener_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
-      // Beyond the bound a connection is refused at once, which sends its user to another node.
-      if (open_ >= limits_.max_connections) {
+      // Beyond the bounds a connection is refused at once, which sends its user to another node.
+      if (open_ >= limits_.max_connections + limits_.spare) {
         ::close(fd);
       } else {
         set_nodelay(fd);
@@ -243,9 +245,11 @@
                     std::move(parser.body)};
     const Response response = co_await handler_(std::move(request));
     if (scope_.cancelled()) break;
-    const bool written = co_await write_all(io, scope_, render(response, parser.keep_alive),
-                                            scope_.loop().now() + limits_.request_s);
-    if (!written || !parser.keep_alive) break;
+    // Health checks and users get their answers even when every socket that may stay is taken.
+    const bool keep = parser.keep_alive && open_ <= limits_.max_connections;
+    const bool written =
+        co_await write_all(io, scope_, render(response, keep), scope_.loop().now() + limits_.request_s);
+    if (!written || !keep) break;
   }
   --open_;
 }
@@ -272,10 +276,30 @@
   co_return io;
 }
 
+void Client::drop(IdleList::iterator it) {
+  auto same = idle_by_key_.find(it->key);
+  std::erase(same->second, it);
+  if (same->second.empty()) idle_by_key_.erase(same);
+  idle_.erase(it);
+}
+
 void Client::keep(const std::string& key, std::unique_ptr<Io> io) {
-  auto& pool = idle_[key];
-  while (pool.size() >= kIdlePerEndpoint) pool.pop_front();
-  pool.push_back({std::move(io), scope_.loop().now()});
+  auto& same = idle_by_key_[key];
+  if (same.size() >= kIdlePerEndpoint) return;
+  idle_.push_back({key, std::move(io), scope_.loop().now()});
+  same.push_back(std::prev(idle_.end()));
+}
+
+std::unique_ptr<Io> Client::reuse(const std::string& key) {
+  for (auto it = idle_by_key_.find(key); it != idle_by_key_.end(); it = idle_by_key_.find(key)) {
+    const auto last = it->second.back();
+    std::unique_ptr<Io> io = std::move(last->io);
+    const Seconds idle = scope_.loop().now() - last->since;
+    drop(last);
+    // A connection that became readable while idle was closed by the other side.
+    if (!io->hung_up() && !io->readable() && idle < kKeepIdle) return io;
+  }
+  return nullptr;
 }
 
 Co<Outcome> Client::call(std::string host, std::uint16_t port, Request request, std::string content_type,
@@ -289,15 +313,8 @@
     ~Leave() { --n; }
   } leave{open_};
   const std::string key = host + ":" + std::to_string(port);
-  std::unique_ptr<Io> io;
-  auto& pool = idle_[key];
-  while (!pool.empty() && !io) {
-    Connection c = std::move(pool.back());
-    pool.pop_back();
-    // A connection that became readable while idle was closed by the other side.
-    if (!c.io->hung_up() && !c.io->readable() && scope_.loop().now() - c.idle_since < kKeepIdle)
-      io = std::move(c.io);
-  }
+  std::unique_ptr<Io> io = reuse(key);
+  while (!idle_.empty() && open_ + idle_.size() > max_connections_) drop(idle_.begin());
   if (!io) io = co_await connect(host, port, deadline);
   if (!io || scope_.cancelled()) co_return out;
   if (scope_.loop().refresh() >= not_after) co_return out;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -1,12 +1,13 @@
 // HTTP/1.1 over TCP, both sides, on the loop. Bodies are opaque bytes here.
 #pragma once
 
-#include <deque>
 #include <functional>
-#include <map>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 #include "net/loop.hpp"
 
@@ -28,7 +29,9 @@
 struct ServerLimits {
   std::size_t max_body = 64UL * 1024;
   std::size_t max_header = 8UL * 1024;
+  // Beyond this many a connection gets one answer and is closed; beyond `spare` more it is refused at once.
   std::size_t max_connections = 1000;
+  std::size_t spare = 0;
   Seconds idle_s = 75;     // between requests
   Seconds request_s = 10;  // from a request's first byte to its last, and for writing an answer
 };
@@ -60,6 +63,7 @@
   std::string body;
 };
 
+// Keeps connections for the next call, and never holds more sockets than it may.
 class Client {
  public:
   Client(Scope& scope, std::size_t max_connections, std::size_t max_body)
@@ -69,17 +73,22 @@
                    Seconds deadline, Seconds not_after);
 
  private:
-  struct Connection {
+  struct Idle {
+    std::string key;
     std::unique_ptr<Io> io;
-    Seconds idle_since = 0;
+    Seconds since = 0;
   };
+  using IdleList = std::list<Idle>;
+  std::unique_ptr<Io> reuse(const std::string& key);
+  void drop(IdleList::iterator it);
   Co<std::unique_ptr<Io>> connect(const std::string& host, std::uint16_t port, Seconds deadline);
   void keep(const std::string& key, std::unique_ptr<Io> io);
 
   Scope& scope_;
   std::size_t max_connections_, max_body_;
-  std::size_t open_ = 0;
-  std::map<std::string, std::deque<Connection>> idle_;
+  std::size_t open_ = 0;  // calls under way, each with a socket
+  IdleList idle_;         // the longest idle first
+  std::unordered_map<std::string, std::vector<IdleList::iterator>> idle_by_key_;
 };
 
 }  // namespace wingtrail::net
