--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -233,6 +233,17 @@
   total("wingtrail_state_calls_total", "requests to the state service", s.state_calls);
   total("wingtrail_state_held_back_total", "requests to the state service held back by the budget",
         s.state_refused);
+  gauge("wingtrail_machines", "machines that are not gone, as the leader knows them",
+        static_cast<double>(s.machines));
+  gauge("wingtrail_record_pages", "values that hold roster and progress", static_cast<double>(s.record_pages));
+  gauge("wingtrail_settled_after_seconds", "from the take-over until every machine was accounted for; 0: not yet",
+        s.settled_after_s);
+  total("wingtrail_direct_calls_total", "calls to workers, beside answers to their reports", s.direct_calls);
+  total("wingtrail_deadlines_total", "deadlines of machines looked at", s.deadlines);
+  total("wingtrail_state_writes_total", "puts and deletes sent as leader", s.state_writes);
+  total("wingtrail_tasks_started_total", "tasks placed on machines", s.tasks_started);
+  total("wingtrail_machines_examined_total", "machines looked at to place tasks", s.machines_examined);
+  total("wingtrail_jobs_examined_total", "jobs looked at to place tasks", s.jobs_examined);
   total("wingtrail_orders_total", "orders sent to workers", s.orders);
   total("wingtrail_commits_total", "transactions committed as leader", s.commits);
   total("wingtrail_machines_hired_total", "machines rented", s.hired);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -9,6 +9,7 @@
 constexpr Seconds kGreeting = 1.0;   // how often peers hear of each other
 constexpr Seconds kPeerFresh = 2.5;  // a peer heard of within this time is taken to be there
 constexpr Seconds kPeriod = 0.25;
+constexpr Seconds kStatsEvery = 10;
 constexpr Seconds kCatalogEvery = 60;
 constexpr Seconds kBouncedWindow = 4;
 constexpr Seconds kRedirected = 2;  // a worker that was sent here has reported by then
@@ -59,6 +60,7 @@
   probe_store();
   greet();
   periodic();
+  out_.after(kStatsEvery, [this] { tell_stats(); });
 }
 
 void Node::reply(Seconds now, std::uint64_t call, const ports::Reply& reply) {
@@ -85,6 +87,15 @@
   s.returned = fleet_.returned();
   s.commits = ledger_.commits();
   s.live_jobs = registry_.live();
+  s.machines = agents_.live().size();
+  s.direct_calls = agents_.direct_calls();
+  s.deadlines = agents_.checks();
+  s.state_writes = ledger_.writes();
+  s.record_pages = ledger_.pages();
+  s.tasks_started = scheduler_.started();
+  s.machines_examined = scheduler_.machines_examined();
+  s.jobs_examined = scheduler_.jobs_examined();
+  s.settled_after_s = agents_.cleared_after();
   s.leading = entitled();
   return s;
 }
@@ -532,6 +543,16 @@
   out_.after(kPeriod, [this] { periodic(); });
 }
 
+void Node::tell_stats() {
+  const Stats s = stats();
+  spdlog::debug(
+      "so far: {} reports, {} direct calls, {} orders, {} deadlines, {} tasks started, {} machines and {} jobs "
+      "examined, {} state calls ({} held back), {} writes, {} handed on; now {} jobs, {} machines, {} pages",
+      s.reports, s.direct_calls, s.orders, s.deadlines, s.tasks_started, s.machines_examined, s.jobs_examined,
+      s.state_calls, s.state_refused, s.state_writes, s.forwarded, s.live_jobs, s.machines, s.record_pages);
+  out_.after(kStatsEvery, [this] { tell_stats(); });
+}
+
 // A leader that workers cannot reach lets their leases run out. If peers turn reports away that never come
 // here, one of them should lead.
 void Node::check_reach() {
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -32,7 +32,10 @@
   std::uint64_t submitted = 0, admitted = 0, refused = 0, reports = 0, forwarded = 0, completed = 0,
                 cancelled = 0;
   std::uint64_t state_calls = 0, state_refused = 0, orders = 0, hired = 0, returned = 0, commits = 0;
-  std::size_t live_jobs = 0, machines = 0;
+  std::uint64_t direct_calls = 0, deadlines = 0, state_writes = 0, tasks_started = 0, machines_examined = 0,
+                jobs_examined = 0;
+  std::size_t live_jobs = 0, machines = 0, record_pages = 0;
+  double settled_after_s = 0;
   bool leading = false;
 };
 
@@ -102,6 +105,7 @@
   void probe_store();
   void periodic();
   void check_reach();
+  void tell_stats();
 
   void elected();
   void lost();
