--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -317,7 +317,7 @@
   while (!idle_.empty() && open_ + idle_.size() > max_connections_) drop(idle_.begin());
   if (!io) io = co_await connect(host, port, deadline);
   if (!io || scope_.cancelled()) co_return out;
-  if (scope_.loop().refresh() >= not_after) co_return out;
+  if (std::isfinite(not_after) && scope_.loop().refresh() >= not_after) co_return out;
   std::string head = request.method + " " + request.target + " HTTP/1.1\r\nHost: " + key + "\r\n";
   if (!request.body.empty()) head += "Content-Type: " + content_type + "\r\n";
   if (!request.body.empty() || request.method == "POST") {
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -113,7 +113,7 @@
     if (!timers_.empty()) wake = std::min(wake, timers_.begin()->first);
     int timeout = -1;
     if (std::isfinite(wake)) {
-      timeout = static_cast<int>(std::clamp(std::ceil((wake - refresh()) * 1000.0), 0.0, 60'000.0));
+      timeout = static_cast<int>(std::clamp(std::ceil((wake - now_) * 1000.0), 0.0, 60'000.0));
     }
     const int n = epoll_wait(epoll_, events, 128, timeout);
     refresh();
