--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -242,6 +242,8 @@
   total("wingtrail_deadlines_total", "deadlines of machines looked at", s.deadlines);
   total("wingtrail_state_writes_total", "puts and deletes sent as leader", s.state_writes);
   total("wingtrail_tasks_started_total", "tasks placed on machines", s.tasks_started);
+  total("wingtrail_tasks_preempted_total", "tasks stopped for work of higher priority", s.preempted);
+  total("wingtrail_tasks_reclaimed_total", "tasks stopped for another team's guarantee", s.reclaimed);
   total("wingtrail_machines_examined_total", "machines looked at to place tasks", s.machines_examined);
   total("wingtrail_jobs_examined_total", "jobs looked at to place tasks", s.jobs_examined);
   total("wingtrail_orders_total", "orders sent to workers", s.orders);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -95,6 +95,8 @@
   s.tasks_started = scheduler_.started();
   s.machines_examined = scheduler_.machines_examined();
   s.jobs_examined = scheduler_.jobs_examined();
+  s.preempted = scheduler_.preempted();
+  s.reclaimed = scheduler_.reclaimed();
   s.settled_after_s = agents_.cleared_after();
   s.leading = entitled();
   return s;
@@ -546,9 +548,10 @@
 void Node::tell_stats() {
   const Stats s = stats();
   spdlog::debug(
-      "so far: {} reports, {} direct calls, {} orders, {} deadlines, {} tasks started, {} machines and {} jobs "
+      "so far: {} reports, {} direct calls, {} orders, {} deadlines, {} tasks started, {} preempted, {} "
+      "reclaimed, {} machines and {} jobs "
       "examined, {} state calls ({} held back), {} writes, {} handed on; now {} jobs, {} machines, {} pages",
-      s.reports, s.direct_calls, s.orders, s.deadlines, s.tasks_started, s.machines_examined, s.jobs_examined,
+      s.reports, s.direct_calls, s.orders, s.deadlines, s.tasks_started, s.preempted, s.reclaimed, s.machines_examined, s.jobs_examined,
       s.state_calls, s.state_refused, s.state_writes, s.forwarded, s.live_jobs, s.machines, s.record_pages);
   out_.after(kStatsEvery, [this] { tell_stats(); });
 }
@@ -690,9 +693,12 @@
 void Node::job_closed(jobs::Job& job) {
   remember(job.spec.ref, job.final_phase, job.spec.tasks);
   ++(job.final_phase == wire::Phase::done ? stats_.completed : stats_.cancelled);
-  spdlog::info("{} ({} of {}) is {} after {:.1f} s; {} of its {} tasks had to start again", job.spec.ref,
-               job.spec.job_class, job.spec.team, wire::phase_name(job.final_phase), out_.now() - job.seen_at,
-               job.lost, job.spec.tasks);
+  spdlog::info(
+      "{} ({} of {}) is {} after {:.1f} s, its last start after {:.1f} s, estimated at {:.1f} s; {} of its {} "
+      "tasks had to start again",
+      job.spec.ref, job.spec.job_class, job.spec.team, wire::phase_name(job.final_phase),
+      out_.now() - job.seen_at, std::max(0.0, job.last_start - job.seen_at), scheduler_.estimate(job), job.lost,
+      job.spec.tasks);
   scheduler_.over(job);
   registry_.drop_if_over(job);
 }
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -33,7 +33,7 @@
                 cancelled = 0;
   std::uint64_t state_calls = 0, state_refused = 0, orders = 0, hired = 0, returned = 0, commits = 0;
   std::uint64_t direct_calls = 0, deadlines = 0, state_writes = 0, tasks_started = 0, machines_examined = 0,
-                jobs_examined = 0;
+                jobs_examined = 0, preempted = 0, reclaimed = 0;
   std::size_t live_jobs = 0, machines = 0, record_pages = 0;
   double settled_after_s = 0;
   bool leading = false;
--- a/src/jobs/registry.hpp
+++ b/src/jobs/registry.hpp
@@ -65,6 +65,7 @@
   // A task that fails where others succeed points at its machine; one that fails everywhere, at the job.
   std::vector<Ix> failed_on;
   std::uint32_t errors = 0;
+  Seconds last_start = 0;
   std::uint32_t lost = 0;  // starts that came to nothing, for whatever cause
   bool ever_ok = false;
   Seconds not_before = 0;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -307,6 +307,7 @@
 
 void Scheduler::start(Machine& m, Job& job) {
   ++started_;
+  job.last_start = out_.now();
   agents_.start(m, job, job.pending.back());
 }
 
@@ -509,6 +510,7 @@
     ++vain_;
     return false;
   }
+  preempted_ += best.victims.size();
   for (const std::size_t s : best.victims) agents_.stop(*best.where, best.where->slots[s], 0);
   start(*best.where, job);
   return true;
@@ -551,6 +553,7 @@
       if (s.job == victim.ix && s.task == f.task && s.counted) {
         agents_.stop(m, s, saves ? victim.spec.save_s + 1 : 0);
         ++stopped;
+        ++reclaimed_;
         break;
       }
     }
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -53,6 +53,8 @@
   std::uint64_t machines_examined() const { return machines_examined_; }
   std::uint64_t jobs_examined() const { return jobs_examined_; }
   std::uint64_t started() const { return started_; }
+  std::uint64_t preempted() const { return preempted_; }
+  std::uint64_t reclaimed() const { return reclaimed_; }
 
  private:
   struct Reservation {
@@ -118,7 +120,8 @@
   std::unordered_map<Ix, std::pair<double, int>> job_times_;  // mean run time of a job's completed tasks
   Seconds last_second_ = 0;
   int vain_ = 0;  // preemptions sought in vain in this pass
-  std::uint64_t machines_examined_ = 0, jobs_examined_ = 0, started_ = 0;
+  std::uint64_t machines_examined_ = 0, jobs_examined_ = 0, started_ = 0, preempted_ = 0,
+                reclaimed_ = 0;
 };
 
 }  // namespace wingtrail::sched
