Preempt only what has run for less than the fetch it saves; long tasks avoid spot machines

Change: a task is stopped for a cached image only if it has run for less than the fetch would take. A spot machine counts as waiting for the chance, by the rate seen, that an array must run once more; ordinary machines are rented for tasks above Hawk's cutoff.

--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -450,8 +450,14 @@
   return doubt_sum_;
 }
 
+void Agents::watch_spot(Seconds span) {
+  for (const Ix ix : live_) spot_seconds_ += machines_[ix].spot && machines_[ix].reporting ? span : 0;
+}
+
 void Agents::gone(Machine& m) {
   if (m.gone) return;
+  // Returned for silence counts as taken: most that fall silent without a notice were.
+  if (m.spot && m.reporting && (m.reclaim_at || !m.returning || silence(m) > silent_s())) ++spot_lost_;
   end_session(m);
   m.gone = true;
   m.settled = true;
--- a/src/agents/agents.hpp
+++ b/src/agents/agents.hpp
@@ -83,6 +83,9 @@
 
   const Index& index();  // up to date
   bool may_start(const Machine& m) const;
+  // How often a spot machine is taken, per second of its time, as seen so far.
+  double spot_loss_rate() const { return (spot_lost_ + 1) / (spot_seconds_ + kSpotPrior); }
+  void watch_spot(Seconds span);  // that much time has passed for all of them
   const wire::Resources& team_use(Ix team) const { return team_use_[team]; }
   std::uint64_t orders_sent() const { return orders_sent_; }
   std::uint64_t direct_calls() const { return direct_calls_; }
@@ -141,6 +144,8 @@
   int in_doubt_ = 0, unsized_ = 0;
   wire::Resources doubt_sum_;
   bool active_ = false;
+  static constexpr double kSpotPrior = 3600;  // as if one had been taken in an hour, until more is known
+  double spot_lost_ = 0, spot_seconds_ = 0;    // of all leaderships of this process
   int calls_ = 0;
   Seconds fence_until_ = 0, began_ = 0, cleared_after_ = 0;
   std::uint64_t counter_ = 0, term_ = 0, orders_sent_ = 0, direct_calls_ = 0, checks_ = 0;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -404,9 +404,18 @@
   }
   if (job.service()) s += same_job * 2.0;
   s *= std::max(1.0, m.slowness);
+  if (m.spot) s += spot_risk_s(m, job);
   return s + 0.2 * (1 - m.used.cpus / std::max(m.cpus, 1.0));
 }
 
+// What a spot machine costs an array in time: one machine taken means that the array waits for a task's whole
+// run once more, and it is on as many machines as its tasks fill.
+double Scheduler::spot_risk_s(const Machine& m, const Job& job) const {
+  const double run = estimate(job);
+  const double machines = std::max(1.0, (job.spec.tasks - job.done) * job.spec.need.cpus / std::max(m.cpus, 1.0));
+  return run * (1 - std::exp(-agents_.spot_loss_rate() * run * machines));
+}
+
 Machine* Scheduler::least_waiting(const Job& job, bool cached_only) {
   Machine* best = nullptr;
   double best_wait = 0;
@@ -430,7 +439,9 @@
       if (cached && with) look(*with);
       if (!cached) look(p.all);
     }
-    if (best || cached_only) break;
+    // Nothing is won by a fetch unless all that have the image are a worse choice for another reason.
+    constexpr double kGoodEnough = 1.0;
+    if (cached_only || (best && best_wait < kGoodEnough)) break;
   }
   return best;
 }
@@ -440,18 +451,21 @@
   if (job.gang() && (job.placed > 0 || !gang_fits(job))) return;
   while (startable(job)) {
     Machine* m = least_waiting(job);
-    // A service need not wait for a fetch if a lower task holds its place on a machine that has the image.
-    constexpr double kFetchWorthPreempting = 1.0;
-    if (job.service() && (!m || waiting(*m, job) > kFetchWorthPreempting) && preempt_for(job, true)) continue;
-    if (m) {
-      start(*m, job);
-    } else if (!preempt_for(job, false)) {
-      return;
+    if (!m) {
+      if (!preempt_for(job, {})) return;
+      continue;
     }
+    // A service need not wait for a fetch if a lower task holds its place on a machine that has the image, and
+    // has not run for longer than the fetch takes: its job waits for that once more.
+    constexpr double kFetchWorthPreempting = 1.0;
+    const double wait = waiting(*m, job);
+    if (job.service() && wait > kFetchWorthPreempting && preempt_for(job, wait)) continue;
+    start(*m, job);
   }
 }
 
-void Scheduler::consider_preempting(const Index::Group& group, const Job& job, Preemption& best) {
+void Scheduler::consider_preempting(const Index::Group& group, const Job& job, double most_lost_s,
+                                    Preemption& best) {
   if (group.members.empty()) return;
   const Seconds now = out_.now();
   for (int i = 0; i < 2 * settings_.tunables.steal_sample; ++i) {
@@ -475,22 +489,24 @@
     Machine after;  // only its sizes matter
     after.cpus = m.cpus, after.gpus = m.gpus, after.memory_gb = m.memory_gb, after.used = m.used;
     std::vector<std::size_t> victims;
-    double cost = waiting(m, job) * 5;
+    double cost = waiting(m, job) * 5, lost = 0;
     for (const std::size_t s : order) {
       if (after.fits(job.spec.need)) break;
       after.used.cpus -= m.slots[s].need.cpus;
       after.used.gpus -= m.slots[s].need.gpus;
       after.used.memory_gb -= m.slots[s].need.memory_gb;
       cost += 1 + age(s);
+      lost += age(s);
       victims.push_back(s);
     }
-    if (victims.empty() || !after.fits(job.spec.need)) continue;
+    if (lost > most_lost_s || victims.empty() || !after.fits(job.spec.need)) continue;
     if (!best.where || cost < best.cost) best = {&m, cost, victims};
   }
 }
 
 // Makes room for a task of higher priority by stopping lower ones on one machine, and starts it there.
-bool Scheduler::preempt_for(Job& job, bool cached_only) {
+bool Scheduler::preempt_for(Job& job, std::optional<double> saves_s) {
+  const double most_lost_s = saves_s.value_or(1e9);
   // When all that runs is as important, every search is in vain; a few a pass notice when that changes.
   if (vain_ >= settings_.tunables.steal_sample || !startable(job) || fails_everywhere(job)) return false;
   Preemption best;
@@ -501,10 +517,10 @@
         continue;
       }
       const Index::Group* with = p.with(job.image);
-      if (cached && with) consider_preempting(*with, job, best);
-      if (!cached) consider_preempting(p.all, job, best);
+      if (cached && with) consider_preempting(*with, job, most_lost_s, best);
+      if (!cached) consider_preempting(p.all, job, most_lost_s, best);
     }
-    if (best.where || cached_only) break;
+    if (best.where || saves_s) break;
   }
   if (!best.where) {
     ++vain_;
@@ -675,6 +691,7 @@
   vain_ = 0;
   const bool second = out_.now() - last_second_ >= 1;
   if (second) {
+    agents_.watch_spot(std::min(2.0, out_.now() - last_second_));
     last_second_ = out_.now();
     partition();
   }
@@ -720,15 +737,17 @@
   }
   registry_.each([&](Job& job) {
     if (!job.open()) return;
+    // Long tasks lose too much when a spot machine is taken: ordinary ones are rented for them.
+    const bool flexible = job.spec.spot && (job.gang() || !is_long(job));
     const double per = job.spec.need.cpus;
     const double placed = per * job.placed;
     double wait = per * static_cast<double>(job.pending.size());
     // What its team's limit holds back needs no machine, and neither does a job that fails wherever it runs.
     wait = out_.now() < job.not_before ? 0 : std::min(wait, left[job.team]);
     left[job.team] -= wait;
-    (job.spec.spot ? d.flexible : d.ordinary) += placed + wait;
-    (job.spec.spot ? d.waiting_flexible : d.waiting_ordinary) += wait;
-    if (!job.spec.spot || wait <= 0) return;
+    (flexible ? d.flexible : d.ordinary) += placed + wait;
+    (flexible ? d.waiting_flexible : d.waiting_ordinary) += wait;
+    if (!flexible || wait <= 0) return;
     // What room comes free within the time that the job can spare needs no machine: its tasks run one after
     // another.
     const double est = std::max(1.0, estimate(job));
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -91,8 +91,10 @@
   // The machine where the job could begin soonest, of some that have its image and some others.
   Machine* least_waiting(const Job& job, bool cached_only = false);
   double waiting(const Machine& m, const Job& job) const;
-  bool preempt_for(Job& job, bool cached_only);
-  void consider_preempting(const Index::Group& group, const Job& job, Preemption& best);
+  double spot_risk_s(const Machine& m, const Job& job) const;
+  // `saves_s`: the wait that it is to spare the task; nothing: there is no other way.
+  bool preempt_for(Job& job, std::optional<double> saves_s);
+  void consider_preempting(const Index::Group& group, const Job& job, double most_lost_s, Preemption& best);
   void reclaim_guarantees();
   std::size_t reclaim_from(Job& victim, Job& job);
   void partition();
