--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -269,8 +269,7 @@
   double ordinary = cores(false);
   const double spot = cores(true);
   const double headroom = settings_.tunables.headroom;
-  const double flexible =
-      std::max(smooth_flexible_ * (1 + headroom), flexible_now - d.waiting_flexible + d.pressing_flexible);
+  const double flexible = std::max(smooth_flexible_ * (1 + headroom), flexible_now);
   // Services keep the loss of one machine in reserve.
   const double want_ordinary = d.ordinary > 0 ? d.ordinary * (1 + headroom / 2) + largest_ / 2 : 0;
   const double want_total = d.ordinary * (1 + headroom / 2) + flexible;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -124,21 +124,21 @@
 
 // How many of its class's objectives the job cannot meet any more; without any, whether it misses its own
 // deadline.
-int Scheduler::lateness(const Job& job) const {
-  const double elapsed = out_.now() - job.seen_at, rest = estimate(job);
+int Scheduler::lateness(const Job& job, Seconds later) const {
+  const double elapsed = out_.now() + later - job.seen_at, rest = estimate(job);
   const auto& times = objectives(job.job_class);
   if (times.empty()) return job.spec.deadline_s && elapsed + rest > *job.spec.deadline_s ? 1 : 0;
   return static_cast<int>(
       std::count_if(times.begin(), times.end(), [&](double w) { return elapsed + rest > w; }));
 }
 
-// When the job should be done: the first of its class's objectives that it can still meet, else its own
-// deadline.
-Seconds Scheduler::due(const Job& job) const {
+// When the job should be done: the first of its class's objectives that it can still meet if it begins `later`
+// than now, else its own deadline.
+Seconds Scheduler::due(const Job& job, Seconds later) const {
   const double rest = estimate(job);
   const auto& times = objectives(job.job_class);
   if (times.empty()) return job.seen_at + job.spec.deadline_s.value_or(10 * rest + 60);
-  const auto missed = static_cast<std::size_t>(lateness(job));
+  const auto missed = static_cast<std::size_t>(lateness(job, later));
   return job.seen_at + (missed < times.size() ? times[missed] : 10 * times.back());
 }
 
@@ -745,14 +745,16 @@
     // What its team's limit holds back needs no machine, and neither does a job that fails wherever it runs.
     wait = out_.now() < job.not_before ? 0 : std::min(wait, left[job.team]);
     left[job.team] -= wait;
-    (flexible ? d.flexible : d.ordinary) += placed + wait;
     (flexible ? d.waiting_flexible : d.waiting_ordinary) += wait;
-    if (!flexible || wait <= 0) return;
     // What room comes free within the time that the job can spare needs no machine: its tasks run one after
-    // another.
-    const double est = std::max(1.0, estimate(job));
-    const double spare = std::max(boot_s / 2, due(job) - out_.now() - est - boot_s);
-    d.pressing_flexible += wait * std::min(1.0, est / spare);
+    // another. A machine that is rented for it now comes after a boot, so what counts is the first time it can
+    // still meet then; and one that would be of use for less than a boot's time is not worth one.
+    if (job.spec.spot) {
+      const double est = std::max(1.0, estimate(job));
+      const double spare = std::max(boot_s, due(job, boot_s) - out_.now() - est - boot_s);
+      wait *= std::min(1.0, est / spare);
+    }
+    (flexible ? d.flexible : d.ordinary) += placed + wait;
   });
   return d;
 }
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -35,12 +35,10 @@
 
   bool is_long(const Job& job) const;
   double estimate(const Job& job) const;  // the owner's, corrected by what was seen of the class
-  // Cores that could be in use now, waiting ones included: for work that needs ordinary machines, and for
-  // work that may use spot machines.
+  // Cores in use, and those that waiting work needs beside them to be in time: for work that is better off on
+  // ordinary machines, and for work that may use spot machines. `waiting` is all that waits.
   struct Demand {
     double ordinary = 0, flexible = 0, waiting_ordinary = 0, waiting_flexible = 0;
-    // Of the waiting flexible cores, those that would be through too late without more machines.
-    double pressing_flexible = 0;
   };
   Demand demand(Seconds boot_s);
   // Whether a machine with the job's image has room for one more of its tasks.
@@ -79,8 +77,8 @@
   void cancel_reservation(Ix job, std::uint32_t tasks);
   Job* first_long(const Machine& m);
   const std::vector<double>& objectives(Ix job_class) const;
-  Seconds due(const Job& job) const;
-  int lateness(const Job& job) const;
+  Seconds due(const Job& job, Seconds later) const;
+  int lateness(const Job& job, Seconds later = 0) const;
   double work_left(const Job& job) const;
   void start(Machine& m, Job& job);
   bool serve_once(Machine& m);
