Creation at a peer beside the own one; cancellation marks; one comparison for a question

Cause: while controllers refuse each other, a submission that was handed to a peer after 0.12 s got 503 at once although the own write was on its way; with a slow state service every submission was handed on. A follower cut from its peers could not have a job cancelled at all. A question about a live job took three requests of the state service.

Change: own write and peer go side by side, the first success is told, a refusal only when both have failed; how long one waits follows the answers' observed times. A follower leaves j/REF/abort, conditioned on the job, which the leader watches and acts on. The failed comparison itself says whether a job lives.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -13,7 +13,7 @@
 constexpr Seconds kCatalogEvery = 60;
 constexpr Seconds kBouncedWindow = 4;
 constexpr Seconds kRedirected = 2;  // a worker that was sent here has reported by then
-constexpr Seconds kHedge = 0.12;    // an answer of the state service usually takes some 10 ms
+constexpr Seconds kCreateTimeout = 2.5;
 constexpr const char* kCatalogKey = "catalog";
 constexpr std::size_t kFinalsKept = 50'000;  // some 100 bytes each
 }  // namespace
@@ -207,7 +207,7 @@
   }
   if (auto why = impossible(*spec)) {
     // The verdict rests on the catalog of today; a job that was accepted under another one stays accepted.
-    return fresh(spec->ref, [this, from, ref = spec->ref, why = *why](
+    return fresh(spec->ref, store::Urgency::user, false, [this, from, ref = spec->ref, why = *why](
                                 int st, std::optional<wire::Phase> phase, const wire::Value&) {
       if (st == 404) {
         ++stats_.refused;
@@ -220,44 +220,73 @@
   create(from, *spec);
 }
 
+// A creation under way: at this node, and if that takes long or fails, at a peer beside it. The first that comes
+// to an end tells the user; a failure is told only when there is nothing left to wait for.
+struct Node::Creation {
+  From from;
+  wire::JobSpec spec;
+  wire::Value value;
+  bool answered = false, own_open = false, peer_open = false, peer_asked = false;
+  int refusal = 503;
+};
+
 void Node::create(const From& from, const wire::JobSpec& spec) {
-  wire::Value value = wire::job_value(spec);
-  auto hand = [this, from, value](int refusal) {
-    hand_on(from, served_peer(), "POST", wire::kJobsPath, wire::encode_cbor(value), 2.5,
-            [this, from, refusal] { try_later(from, refusal); });
-  };
-  // A node that the state service does not answer hands on at once instead of finding out again at its user's
+  auto c = std::make_shared<Creation>(Creation{from, spec, wire::job_value(spec)});
+  // A node that the state service does not answer asks a peer at once instead of finding out again at its user's
   // cost.
-  if (!from.by_peer && !store_.healthy() && served_peer()) return hand(503);
+  if (!from.by_peer && !store_.healthy() && served_peer()) create_at_peer(c);
+  if (c->answered) return;
   wire::Txn txn;
   txn.require(jobs::kLive + spec.ref, 0).require(jobs::kFinal + spec.ref, 0);
-  txn.put(jobs::kLive + spec.ref, value);
-  // Both attempts may go through: the second one to arrive finds the job and says so.
-  auto settled = std::make_shared<bool>(false);
-  store_.txn(std::move(txn), store::Urgency::user, ports::kNever,
-             [this, from, spec, value, hand, settled](const store::Reply& r) {
-               const bool late = std::exchange(*settled, true);
-               // The watch will tell too; this saves the leader's own submissions the way there and back.
-               if (r.status == 200 && entitled()) job_seen(value, wire::revision(r.body).value_or(0));
-               if (late) return;
-               if (r.status == 200) {
-                 ++stats_.admitted;
-                 return respond(from, 201, wire::job_state(spec.ref, wire::Phase::queued));
-               }
-               if (r.status == 409) return answer_fresh(from, spec.ref, true);
-               const int refusal = r.status == 429 ? 429 : 503;
-               if (from.by_peer) return try_later(from, refusal);
-               // This node alone may be refused; a peer that is served can admit the job just as well.
-               hand(refusal);
-             });
-  if (from.by_peer) return;
-  out_.after(kHedge, [this, hand, settled] {
-    if (*settled || !served_peer()) return;
-    *settled = true;
-    hand(503);
+  txn.put(jobs::kLive + spec.ref, c->value);
+  c->own_open = true;
+  store_.txn(std::move(txn), store::Urgency::user, ports::kNever, [this, c](const store::Reply& r) {
+    c->own_open = false;
+    // The watch will tell too; this saves the leader's own submissions the way there and back.
+    if (r.status == 200 && entitled()) job_seen(c->value, wire::revision(r.body).value_or(0));
+    if (c->answered) return;
+    if (r.status == 200) {
+      c->answered = true;
+      ++stats_.admitted;
+      return respond(c->from, 201, wire::job_state(c->spec.ref, wire::Phase::queued));
+    }
+    if (r.status == 409) {
+      c->answered = true;
+      return answer_fresh(c->from, c->spec.ref, true);
+    }
+    if (r.status == 429) c->refusal = 429;
+    // This node alone may be refused; a peer that is served can admit the job just as well.
+    if (!c->peer_asked) create_at_peer(c);
+    give_up_creation(c);
+  });
+  if (c->answered || from.by_peer) return;
+  out_.after(store_.patience(), [this, c] {
+    if (!c->answered && !c->peer_asked && c->own_open) create_at_peer(c);
   });
 }
 
+void Node::create_at_peer(const std::shared_ptr<Creation>& c) {
+  const auto peer = c->from.by_peer ? std::nullopt : served_peer();
+  if (!peer) return;
+  c->peer_asked = c->peer_open = true;
+  ask_peer(*peer, "POST", wire::kJobsPath, wire::encode_cbor(c->value), kCreateTimeout,
+           [this, c](int status, const wire::Value& body) {
+             c->peer_open = false;
+             if (c->answered) return;
+             if (status == 200 || status == 201) {
+               c->answered = true;
+               return respond(c->from, status, body);
+             }
+             give_up_creation(c);
+           });
+}
+
+void Node::give_up_creation(const std::shared_ptr<Creation>& c) {
+  if (c->answered || c->own_open || c->peer_open) return;
+  c->answered = true;
+  try_later(c->from, c->refusal);
+}
+
 // ---------------------------------------------------------------- states
 
 void Node::remember(const std::string& ref, wire::Phase phase, std::uint32_t tasks) {
@@ -287,35 +316,39 @@
 
 // One comparison settles what most questions about unknown jobs come to; a read follows only if the job
 // exists.
-void Node::fresh(const std::string& ref,
-                 const std::function<void(int, std::optional<wire::Phase>, wire::Value)>& then) {
+void Node::fresh(const std::string& ref, store::Urgency urgency, bool need_spec, const OnFresh& then) {
   wire::Txn txn;
   txn.require(jobs::kLive + ref, 0).require(jobs::kFinal + ref, 0);
-  store_.txn(std::move(txn), store::Urgency::user, ports::kNever, [this, ref, then](const store::Reply& r) {
+  store_.txn(std::move(txn), urgency, ports::kNever, [this, ref, urgency, need_spec, then](const store::Reply& r) {
     if (r.status == 200) return then(404, {}, nullptr);
     if (r.status != 409) return then(r.status == 429 ? 429 : 503, {}, nullptr);
-    store_.get(jobs::kFinal + ref, store::Urgency::user, [this, ref, then](const store::Reply& f) {
-      if (f.status == 200) {
-        const auto item = wire::parse_item(f.body);
-        const auto phase = item ? wire::parse_phase(item->value) : std::nullopt;
-        if (!phase) return then(503, {}, nullptr);
-        remember(ref, *phase, static_cast<std::uint32_t>(wire::count(item->value, "tasks").value_or(0)));
-        return then(200, phase, nullptr);
-      }
-      if (f.status != 404) return then(503, {}, nullptr);
-      // It existed a moment ago and has no final state: it lives.
-      store_.get(jobs::kLive + ref, store::Urgency::user, [then](const store::Reply& l) {
+    // The comparison says which of the two exists: at that moment the job lived, or was over.
+    const auto failed = wire::failed_keys(r.body);
+    const bool over = std::find(failed.begin(), failed.end(), jobs::kFinal + ref) != failed.end();
+    if (!over && !failed.empty() && !need_spec) return then(200, wire::Phase::queued, nullptr);
+    if (!over && !failed.empty()) {
+      return store_.get(jobs::kLive + ref, urgency, [then](const store::Reply& l) {
         const auto item = l.status == 200 ? wire::parse_item(l.body) : wire::Result<wire::Item>::fail("");
-        // Not there any more: it has become final since the read before. Asking again will tell.
+        // Not there any more: it has become final since. Asking again will tell.
         if (!item) return then(503, {}, nullptr);
         then(200, wire::Phase::queued, wire::Value{{"spec", item->value}, {"version", item->version}});
       });
+    }
+    store_.get(jobs::kFinal + ref, urgency, [this, ref, then](const store::Reply& f) {
+      const auto item = f.status == 200 ? wire::parse_item(f.body) : wire::Result<wire::Item>::fail("");
+      const auto phase = item ? wire::parse_phase(item->value) : std::nullopt;
+      if (!phase) return then(503, {}, nullptr);
+      remember(ref, *phase, static_cast<std::uint32_t>(wire::count(item->value, "tasks").value_or(0)));
+      then(200, phase, nullptr);
     });
   });
 }
 
 void Node::answer_fresh(const From& from, const std::string& ref, bool brief) {
-  fresh(ref, [this, from, ref, brief](int st, std::optional<wire::Phase> phase, const wire::Value& live) {
+  // Questions come again in a few seconds anyway; submissions and cancellations go before them. The leader takes a
+  // job that it does not know in.
+  const auto urgency = brief ? store::Urgency::user : store::Urgency::background;
+  fresh(ref, urgency, entitled(), [this, from, ref, brief](int st, std::optional<wire::Phase> phase, const wire::Value& live) {
     if (st != 200) {
       if (st == 404) return respond(from, 404);
       return try_later(from, st);
@@ -347,7 +380,7 @@
   const std::string path = std::string(wire::kJobsPath) + "/" + ref + wire::kAbortSuffix;
   if (!entitled()) {
     if (from.by_peer) return try_later(from);
-    return hand_on(from, leader_peer(), "POST", path, "", 3.0, [this, from] { try_later(from); });
+    return hand_on(from, leader_peer(), "POST", path, "", 3.0, [this, from, ref] { leave_intent(from, ref); });
   }
   auto close = [this, from, ref](jobs::Job& job) {
     ledger_.close(job, wire::Phase::cancelled, [this, from, ref] {
@@ -356,7 +389,7 @@
     agents_.cancel(job);
   };
   if (jobs::Job* job = registry_.find(ref)) return close(*job);
-  fresh(ref, [this, from, ref, close](int st, std::optional<wire::Phase>, const wire::Value& live) {
+  fresh(ref, store::Urgency::user, true, [this, from, ref, close](int st, std::optional<wire::Phase>, const wire::Value& live) {
     if (st == 404) return respond(from, 404);
     if (st != 200) return try_later(from, st);
     if (answer_final(from, ref, true)) return;
@@ -367,6 +400,31 @@
   });
 }
 
+// While the leader cannot be reached by its peers, it may well read what they leave in the state service. The user
+// is told to come back: only the leader decides whether the job was done first.
+void Node::leave_intent(const From& from, const std::string& ref) {
+  fresh(ref, store::Urgency::user, true,
+        [this, from, ref](int st, std::optional<wire::Phase>, const wire::Value& live) {
+          if (st == 404) return respond(from, 404);
+          if (st != 200) return try_later(from, st);
+          if (answer_final(from, ref, true)) return;
+          wire::Txn txn;
+          txn.require(jobs::kLive + ref, live["version"].get<std::uint64_t>());
+          txn.put(jobs::kLive + ref + jobs::kAbortMark, true);
+          store_.txn(std::move(txn), store::Urgency::user, ports::kNever, [](const store::Reply&) {});
+          try_later(from);
+        });
+}
+
+void Node::intent_seen(const std::string& key) {
+  const std::size_t prefix = std::string_view(jobs::kLive).size(), mark = std::string_view(jobs::kAbortMark).size();
+  jobs::Job* job = registry_.find(key.substr(prefix, key.size() - prefix - mark));
+  if (!job || !job->open()) return;
+  job->intent = true;
+  ledger_.close(*job, wire::Phase::cancelled, {});
+  agents_.cancel(*job);
+}
+
 // ---------------------------------------------------------------- workers' reports
 
 void Node::report(const From& from, const std::string& bytes) {
@@ -454,13 +512,13 @@
   return std::nullopt;
 }
 
-void Node::hand_on(const From& from, std::optional<std::size_t> peer, std::string method, std::string path,
-                   std::string body, Seconds timeout, const std::function<void()>& otherwise) {
-  if (!peer) return otherwise();
+// `then` hears the peer's verdict; status 0: it has none.
+void Node::ask_peer(std::size_t peer, std::string method, std::string path, std::string body, Seconds timeout,
+                    std::function<void(int, const wire::Value&)> then) {
   ++stats_.forwarded;
   ports::Call call;
   call.target = ports::Target::peer;
-  call.peer = static_cast<std::uint32_t>(*peer);
+  call.peer = static_cast<std::uint32_t>(peer);
   call.method = "POST";
   call.path = peer::kPath;
   call.frame = frame();
@@ -468,21 +526,31 @@
   call.frame->path = std::move(path);
   call.frame->body = std::move(body);
   call.timeout_s = timeout;
-  out_.call(std::move(call), [this, from, i = *peer, otherwise](const ports::Reply& r) {
+  out_.call(std::move(call), [this, peer, then = std::move(then)](const ports::Reply& r) {
     if (!r.frame || r.frame->status == 0) {
-      peers_[i].last_ok = -1e9;  // do not wait for it again before it is heard of
-      return otherwise();
+      peers_[peer].last_ok = -1e9;  // do not wait for it again before it is heard of
+      return then(0, nullptr);
     }
-    heard(i, *r.frame);
+    heard(peer, *r.frame);
     const int st = r.frame->status;
-    if (st == 503 || st == 429) return otherwise();
+    if (st == 503 || st == 429) return then(0, nullptr);
     auto decoded =
         r.frame->body.empty() ? std::optional<wire::Value>(nullptr) : wire::decode_cbor(r.frame->body);
-    if (!decoded) return otherwise();
-    respond(from, st, std::move(*decoded));
+    if (!decoded) return then(0, nullptr);
+    then(st, *decoded);
   });
 }
 
+void Node::hand_on(const From& from, std::optional<std::size_t> peer, std::string method, std::string path,
+                   std::string body, Seconds timeout, const std::function<void()>& otherwise) {
+  if (!peer) return otherwise();
+  ask_peer(*peer, std::move(method), std::move(path), std::move(body), timeout,
+           [this, from, otherwise](int status, const wire::Value& answer) {
+             if (status == 0) return otherwise();
+             respond(from, status, answer);
+           });
+}
+
 // ---------------------------------------------------------------- duties
 
 void Node::fetch_catalog() {
@@ -579,6 +647,7 @@
 void Node::elected() {
   ++term_;
   loaded_ = false;
+  intents_.clear();
   registry_.clear();
   scheduler_.clear();
   ledger_.begin();
@@ -617,7 +686,9 @@
 }
 
 void Node::load_item(const char* prefix, const wire::Item& item) {
-  if (prefix == jobs::kLive) {
+  if (prefix == jobs::kLive && item.key.ends_with(jobs::kAbortMark)) {
+    intents_.push_back(item.key);  // acted on when all is loaded
+  } else if (prefix == jobs::kLive) {
     auto spec = wire::parse_job(item.value);
     if (!spec) return spdlog::error("{}: not a job: {}", item.key, spec.error());
     registry_.add(*spec, item.version, out_.now());
@@ -637,6 +708,7 @@
   spdlog::info("loaded {} jobs and {} machines", registry_.live(), agents_.all().size());
   fleet_.begin();
   agents_.tick();
+  for (const std::string& key : std::exchange(intents_, {})) intent_seen(key);
   std::vector<jobs::Job*> all;
   registry_.each([&all](jobs::Job& job) { all.push_back(&job); });
   for (jobs::Job* job : all) {
@@ -653,7 +725,7 @@
     auto changes = r.status == 200 ? wire::parse_changes(r.body) : wire::Result<wire::Changes>::fail("");
     if (changes) {
       for (const wire::Change& c : changes->events) {
-        if (!c.deleted) job_seen(c.value, c.version);
+        if (!c.deleted) live_key_seen(c.key, c.value, c.version);
       }
       return follow_jobs(std::max(after, changes->revision), term);
     }
@@ -666,7 +738,7 @@
           auto range =
               again.status == 200 ? wire::parse_range(again.body) : wire::Result<wire::Range>::fail("");
           if (range) {
-            for (const wire::Item& i : range->items) job_seen(i.value, i.version);
+            for (const wire::Item& i : range->items) live_key_seen(i.key, i.value, i.version);
           }
           follow_jobs(range ? range->revision : 0, term);
         });
@@ -678,6 +750,10 @@
   });
 }
 
+void Node::live_key_seen(const std::string& key, const wire::Value& value, std::uint64_t version) {
+  key.ends_with(jobs::kAbortMark) ? intent_seen(key) : job_seen(value, version);
+}
+
 void Node::job_seen(const wire::Value& value, std::uint64_t version) {
   auto spec = wire::parse_job(value);
   if (!spec || finals_.contains(spec->ref) || registry_.find(spec->ref)) return;
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -76,21 +76,28 @@
   void try_later(const From& from, int status = 503) { respond(from, status, nullptr, 1); }
 
   void submit(const From& from, const std::string& bytes);
+  struct Creation;
   void create(const From& from, const wire::JobSpec& spec);
+  void create_at_peer(const std::shared_ptr<Creation>& c);
+  void give_up_creation(const std::shared_ptr<Creation>& c);
   void status(const From& from, const std::string& ref);
   void abort(const From& from, const std::string& ref);
+  void leave_intent(const From& from, const std::string& ref);
+  void intent_seen(const std::string& key);
   void report(const From& from, const std::string& bytes);
   std::optional<std::string> impossible(const wire::JobSpec& spec) const;
 
   // Answers with the job's state from memory, the leader or a fresh read; 404 only after a fresh read.
   bool answer_final(const From& from, const std::string& ref, bool brief);
   void answer_live(const From& from, jobs::Job& job, bool brief);
-  void fresh(const std::string& ref,
-             const std::function<void(int status, std::optional<wire::Phase>, wire::Value)>& then);
+  using OnFresh = std::function<void(int status, std::optional<wire::Phase>, wire::Value)>;
+  void fresh(const std::string& ref, store::Urgency urgency, bool need_spec, const OnFresh& then);
   void answer_fresh(const From& from, const std::string& ref, bool brief);
   // Hands the request on; `otherwise` runs if nobody answered it.
   void hand_on(const From& from, std::optional<std::size_t> peer, std::string method, std::string path,
                std::string body, Seconds timeout, const std::function<void()>& otherwise);
+  void ask_peer(std::size_t peer, std::string method, std::string path, std::string body, Seconds timeout,
+                std::function<void(int, const wire::Value&)> then);
   std::optional<std::size_t> leader_peer() const;
   std::optional<std::size_t> served_peer() const;
   void remember(const std::string& ref, wire::Phase phase, std::uint32_t tasks);
@@ -113,6 +120,7 @@
   void load_item(const char* prefix, const wire::Item& item);
   void loaded();
   void follow_jobs(std::uint64_t after, std::uint64_t term);
+  void live_key_seen(const std::string& key, const wire::Value& value, std::uint64_t version);
   void job_seen(const wire::Value& value, std::uint64_t version);
   void job_closed(jobs::Job& job);
   void done_if_complete(jobs::Job& job);
@@ -138,6 +146,7 @@
   std::deque<std::string> finals_order_;
   std::uint64_t term_ = 0;
   bool loaded_ = false;
+  std::vector<std::string> intents_;  // read while loading
   std::uint64_t jobs_revision_ = 0;
   std::deque<Seconds> bounced_;  // when worker reports were turned away
   Seconds last_report_ = 0, reach_since_ = 0, unreached_since_ = 0;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -737,8 +737,9 @@
   }
   registry_.each([&](Job& job) {
     if (!job.open()) return;
-    // Long tasks lose too much when a spot machine is taken: ordinary ones are rented for them.
-    const bool flexible = job.spec.spot && (job.gang() || !is_long(job));
+    // A long array that could not be in time if it had to run a task once more is worth ordinary machines.
+    const bool at_risk = !job.gang() && is_long(job) && job.seen_at + 2 * estimate(job) > due(job, 0);
+    const bool flexible = job.spec.spot && !at_risk;
     const double per = job.spec.need.cpus;
     const double placed = per * job.placed;
     double wait = per * static_cast<double>(job.pending.size());
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -1,6 +1,7 @@
 #include "store/client.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wingtrail::store {
 
@@ -61,8 +62,16 @@
   call.body = std::move(body);
   call.timeout_s = timeout;
   call.not_after = not_after;
-  out_.call(std::move(call), [this, then = std::move(then)](const Reply& reply) {
-    if (reply.status != 0 && reply.status != 503) last_ok_ = out_.now();
+  const bool watch = timeout > kWatchMs / 1000.0;
+  out_.call(std::move(call), [this, then = std::move(then), now, watch](const Reply& reply) {
+    if (reply.status != 0 && reply.status != 503) {
+      last_ok_ = out_.now();
+      const Seconds took = out_.now() - now;
+      if (!watch) {
+        spread_s_ += (std::abs(took - mean_s_) - spread_s_) / 16;
+        mean_s_ += (took - mean_s_) / 16;
+      }
+    }
     then(reply);
   });
 }
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -1,6 +1,7 @@
 // The state service's client: every controller keeps to its part of the rates that all of them share.
 #pragma once
 
+#include <algorithm>
 #include <functional>
 
 #include "ports/outbox.hpp"
@@ -47,11 +48,14 @@
 
   // Whether the service answered this node lately.
   bool healthy() const { return out_.now() - last_ok_ < kHealthy; }
+  // After what time an answer is so late that another way is worth trying.
+  Seconds patience() const { return std::clamp(mean_s_ + 4 * spread_s_, kLeastPatience, kTimeout / 2); }
   std::uint64_t requests() const { return requests_; }
   std::uint64_t refused() const { return refused_; }
 
  private:
   static constexpr Seconds kHealthy = 2.5;
+  static constexpr Seconds kLeastPatience = 0.12;  // an answer usually takes some 10 ms
   static constexpr Seconds kTimeout = 1.5;
   static constexpr int kWatchMs = 10'000;
   void send(std::string method, std::string path, wire::Value body, double writes, Urgency urgency,
@@ -61,6 +65,7 @@
   const settings::Settings& settings_;
   Bucket requests_bucket_, writes_bucket_;
   Seconds last_ok_ = -kHealthy;
+  Seconds mean_s_ = 0.01, spread_s_ = 0.005;  // of answers, watches left out
   std::uint64_t requests_ = 0, refused_ = 0;
 };
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -502,6 +502,11 @@
 }
 
 std::optional<std::uint64_t> revision(const Value& v) { return count(v, "ledgerRev"); }
+std::vector<std::string> failed_keys(const Value& v) {
+  const Value* list = find(v, "failed");
+  auto keys = list ? text_list(*list) : std::nullopt;
+  return keys.value_or(std::vector<std::string>{});
+}
 std::optional<std::uint64_t> lease_id(const Value& v) { return count(v, "permit"); }
 Value lease_body(int ttl_ms) { return {{"ttlMs", ttl_ms}}; }
 
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -186,6 +186,7 @@
   int ops_ = 0;
 };
 std::optional<std::uint64_t> revision(const Value& v);
+std::vector<std::string> failed_keys(const Value& v);  // of a transaction whose comparison failed
 std::optional<std::uint64_t> lease_id(const Value& v);
 Value lease_body(int ttl_ms);
 Result<Item> parse_item(const Value& v);
