When an ordinary machine does not answer, the others are asked at once

Cause: 60 machines that hang cost their replicas 6 to 9 s each, the time until each should have reported and then was asked.

Change: the first ordinary machine that fails to answer makes the leader ask all that were not heard of within the last second; amid such failures one that does not answer counts as silent sooner. Spot machines, which vanish one by one all the time, raise no alarm.

--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -12,6 +12,9 @@
 constexpr Seconds kSoonest = 0.02;
 constexpr Seconds kProbeTimeout = 1.0;
 constexpr Seconds kResend = 1.0;
+constexpr Seconds kAlarm = 3.0;
+constexpr Seconds kAlarmSilence = 1.0;
+constexpr double kAboutToReport = 0.6;  // of the report interval
 constexpr double kLateReport = 1.3;    // reports are up to a quarter late
 
 void add(wire::Resources& to, const wire::Resources& n, double sign) {
@@ -234,6 +237,7 @@
   m.session = r.session;
   m.seq = r.seq;
   m.last_contact = out_.now();
+  m.failures = 0;
   m.reclaim_at = r.reclaim_in_s ? std::optional<Seconds>(out_.now() + *r.reclaim_in_s) : std::nullopt;
   silent_.erase(m.ix);
   if (!was_up) look_again(m, out_.now() + kLateReport * settings_.report_s);
@@ -524,6 +528,18 @@
   }
 }
 
+// An ordinary machine does not answer. Machines seldom hang alone, and waiting until each should have reported costs
+// its replicas seconds, so all that were not heard of within the last moment are asked now.
+void Agents::raise_alarm() {
+  const bool raised = out_.now() < alarm_until_;
+  alarm_until_ = out_.now() + kAlarm;
+  if (raised) return;
+  for (const Ix ix : live_) {
+    Machine& m = machines_[ix];
+    if (m.reporting && !m.in_flight && silence(m) > kAlarmSilence) look_again(m, out_.now());
+  }
+}
+
 // What time alone brings about on a machine, and when to look at it next.
 void Agents::check(Machine& m) {
   const Seconds now = out_.now();
@@ -545,13 +561,17 @@
     }
     look_again(m, std::max(now + 0.25, std::max(m.pushed_at, m.retry_at) + kResend));
   }
-  if (silence(m) > silent_s() && (m.reporting || !m.settled)) silent_.insert(m.ix);
+  // Amid others that fail, one that answers neither of two calls, or one when it should be about to report, is as
+  // good as silent for longer.
+  const bool amid = now < alarm_until_ && m.reporting &&
+                    (m.failures >= 2 || (m.failures == 1 && silence(m) > kAboutToReport * settings_.report_s));
+  if ((amid || silence(m) > silent_s()) && (m.reporting || !m.settled)) silent_.insert(m.ix);
   if (!m.settled && silence(m) <= silent_s()) look_again(m, m.last_contact + silent_s() + kSoonest);
   if (!m.reporting) return;
-  const Seconds late = kLateReport * settings_.report_s;
+  const Seconds late = now < alarm_until_ ? kAlarmSilence : kLateReport * settings_.report_s;
   if (silence(m) <= late) return look_again(m, m.last_contact + late + kSoonest);
   // Ask a machine that should have reported by now; the answer to an empty list of orders is its report.
-  if (!m.in_flight && now >= m.retry_at && !m.addr.empty() && calls_ < call_limit()) {
+  if (!m.in_flight && (now >= m.retry_at || now < alarm_until_) && !m.addr.empty() && calls_ < call_limit()) {
     send_direct(m, {}, {}, kProbeTimeout);
   }
   look_again(m, silence(m) > silent_s() ? now + kResend / 2
--- a/src/agents/agents.hpp
+++ b/src/agents/agents.hpp
@@ -105,6 +105,7 @@
   Doubt& doubt(const Machine& m);
   Seconds lease_end() const;  // of a lease that starts now at the latest
   void check(Machine& m);
+  void raise_alarm();
   void look_again(Machine& m, Seconds at);
   void want(Machine& m);
   int call_limit() const;
@@ -147,6 +148,7 @@
   static constexpr double kSpotPrior = 3600;  // as if one had been taken in an hour, until more is known
   double spot_lost_ = 0, spot_seconds_ = 0;    // of all leaderships of this process
   int calls_ = 0;
+  Seconds alarm_until_ = 0;
   Seconds fence_until_ = 0, began_ = 0, cleared_after_ = 0;
   std::uint64_t counter_ = 0, term_ = 0, orders_sent_ = 0, direct_calls_ = 0, checks_ = 0;
 };
--- a/src/agents/machine.hpp
+++ b/src/agents/machine.hpp
@@ -73,6 +73,7 @@
   bool news = false;   // it has yet to be told something for the first time
   bool dirty = false;  // it waits for its turn to be called
   Seconds retry_at = 0, pushed_at = 0;
+  int failures = 0;  // calls without an answer since it was last heard of
   Seconds check_at = ports::kNever;  // when its next deadline is looked at
   // health
   Health health = Health::good;
--- a/src/agents/orders.cpp
+++ b/src/agents/orders.cpp
@@ -220,6 +220,10 @@
     }
     m.unreachable = true;
     m.retry_at = out_.now() + kResend;
+    ++m.failures;
+    // Spot machines vanish one by one all the time; that says nothing about the others.
+    if (unanswered && m.reporting && !m.spot) raise_alarm();
+    if (m.reporting) look_again(m, out_.now());
   }
   if (!active_ || m.gone) return;
   if (m.news && !m.unreachable) {
