Ready while everybody waits for the state service; renting keeps up with what comes

Cause: during an outage of the state service every node called itself not ready, and the load balancer's pause of 3 s and more came on top of it (3035 attempts found no node).

Change: a node that sees no peer served stays ready and tells users at once when to come back. Renting counts as in use what flexible work keeps busy at the rate at which it came within the last minute.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -140,7 +140,8 @@
   }
   if (path == wire::kReadyPath && !from.by_peer) {
     if (wrong_method("GET")) return;
-    const bool ready = !catalog_.empty() && (store_.healthy() || served_peer() || entitled());
+    const bool ready =
+        !catalog_.empty() && (store_.healthy() || served_peer() || entitled() || everybody_waits());
     return ready ? respond(from, 200, wire::Value::object()) : try_later(from);
   }
   respond(from, 404);
@@ -541,6 +542,18 @@
   });
 }
 
+// As far as it can be seen, no node is served by the state service. Being taken out of service would only add the
+// load balancer's pause to the outage; until it is over, users are told at once to come back.
+bool Node::everybody_waits() const {
+  bool any = false;
+  for (const PeerView& p : peers_) {
+    if (out_.now() - p.last_ok >= kPeerFresh) continue;
+    if (p.store_ok) return false;
+    any = true;
+  }
+  return any;
+}
+
 void Node::hand_on(const From& from, std::optional<std::size_t> peer, std::string method, std::string path,
                    std::string body, Seconds timeout, const std::function<void()>& otherwise) {
   if (!peer) return otherwise();
@@ -758,6 +771,7 @@
   auto spec = wire::parse_job(value);
   if (!spec || finals_.contains(spec->ref) || registry_.find(spec->ref)) return;
   jobs::Job& job = registry_.add(*spec, version, out_.now());
+  scheduler_.offered(job);
   scheduler_.arrived(job);
 }
 
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -100,6 +100,7 @@
                 std::function<void(int, const wire::Value&)> then);
   std::optional<std::size_t> leader_peer() const;
   std::optional<std::size_t> served_peer() const;
+  bool everybody_waits() const;
   void remember(const std::string& ref, wire::Phase phase, std::uint32_t tasks);
 
   void greet();
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -8,6 +8,7 @@
 namespace wingtrail::sched {
 namespace {
 constexpr double kEps = 1e-6;
+constexpr Seconds kOfferedOver = 60;  // what has come lately
 }
 
 Scheduler::Scheduler(ports::Outbox& out, const settings::Settings& settings, jobs::Registry& registry,
@@ -36,6 +37,7 @@
   in_waiting_.clear();
   long_.clear();
   job_times_.clear();
+  offered_ = 0;
 }
 
 // ---------------------------------------------------------------- what may go where
@@ -730,8 +732,24 @@
   if (second && !waiting_.empty()) reclaim_guarantees();
 }
 
+// Whether spot machines do for it. A long array that could not be in time if it had to run a task once more is
+// worth ordinary machines.
+bool Scheduler::flexible(const Job& job) const {
+  if (!job.spec.spot) return false;
+  return job.gang() || !is_long(job) || job.seen_at + 2 * estimate(job) <= due(job, 0);
+}
+
+void Scheduler::offered(const Job& job) {
+  if (job.service() || !flexible(job)) return;
+  const Seconds now = out_.now();
+  offered_ *= std::exp(-(now - offered_at_) / kOfferedOver);
+  offered_ += job.spec.tasks * job.spec.need.cpus * std::max(1.0, estimate(job)) / kOfferedOver;
+  offered_at_ = now;
+}
+
 Scheduler::Demand Scheduler::demand(Seconds boot_s) {
   Demand d;
+  double placed_flexible = 0;
   std::vector<double> left(settings_.teams.size());
   for (std::size_t i = 0; i < left.size(); ++i) {
     const settings::Team& t = settings_.teams[i];
@@ -739,16 +757,14 @@
   }
   registry_.each([&](Job& job) {
     if (!job.open()) return;
-    // A long array that could not be in time if it had to run a task once more is worth ordinary machines.
-    const bool at_risk = !job.gang() && is_long(job) && job.seen_at + 2 * estimate(job) > due(job, 0);
-    const bool flexible = job.spec.spot && !at_risk;
     const double per = job.spec.need.cpus;
     const double placed = per * job.placed;
     double wait = per * static_cast<double>(job.pending.size());
     // What its team's limit holds back needs no machine, and neither does a job that fails wherever it runs.
     wait = out_.now() < job.not_before ? 0 : std::min(wait, left[job.team]);
     left[job.team] -= wait;
-    (flexible ? d.waiting_flexible : d.waiting_ordinary) += wait;
+    const bool on_spot = flexible(job);
+    (on_spot ? d.waiting_flexible : d.waiting_ordinary) += wait;
     // What room comes free within the time that the job can spare needs no machine: its tasks run one after
     // another. A machine that is rented for it now comes after a boot, so what counts is the first time it can
     // still meet then; and one that would be of use for less than a boot's time is not worth one.
@@ -757,8 +773,12 @@
       const double spare = std::max(boot_s, due(job, boot_s) - out_.now() - est - boot_s);
       wait *= std::min(1.0, est / spare);
     }
-    (flexible ? d.flexible : d.ordinary) += placed + wait;
+    (on_spot ? d.flexible : d.ordinary) += wait;
+    (on_spot ? placed_flexible : d.ordinary) += placed;
   });
+  // Machines must keep up with what comes, too, while what waits is worked off: after a start, or when machines
+  // were lost, little is placed yet.
+  d.flexible += std::max(placed_flexible, offered_ * std::exp(-(out_.now() - offered_at_) / kOfferedOver));
   return d;
 }
 
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -41,6 +41,7 @@
     double ordinary = 0, flexible = 0, waiting_ordinary = 0, waiting_flexible = 0;
   };
   Demand demand(Seconds boot_s);
+  void offered(const Job& job);  // it is new to the service
   // Whether a machine with the job's image has room for one more of its tasks.
   bool could_move(const Job& job);
   bool allowed(const Machine& m, const Job& job) const;
@@ -90,6 +91,7 @@
   Machine* least_waiting(const Job& job, bool cached_only = false);
   double waiting(const Machine& m, const Job& job) const;
   double spot_risk_s(const Machine& m, const Job& job) const;
+  bool flexible(const Job& job) const;
   // `saves_s`: the wait that it is to spare the task; nothing: there is no other way.
   bool preempt_for(Job& job, std::optional<double> saves_s);
   void consider_preempting(const Index::Group& group, const Job& job, double most_lost_s, Preemption& best);
@@ -118,6 +120,8 @@
   std::vector<ClassStats> classes_;
   mutable std::vector<std::optional<std::vector<double>>> within_;  // by class: times to be done in
   std::unordered_map<Ix, std::pair<double, int>> job_times_;  // mean run time of a job's completed tasks
+  double offered_ = 0;  // cores that flexible work would keep busy at the rate at which it has been coming
+  Seconds offered_at_ = 0;
   Seconds last_second_ = 0;
   int vain_ = 0;  // preemptions sought in vain in this pass
   std::uint64_t machines_examined_ = 0, jobs_examined_ = 0, started_ = 0, preempted_ = 0,
