A job that few machines may run gets machines of its own while it waits

Change: such a job, still waiting after the time of a boot, asks for machines for the part of its tasks that would be late, once in the time of a boot.

--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -44,6 +44,7 @@
   listings_.clear();
   to_return_.clear();
   refused_until_.clear();
+  tied_asked_.clear();
   excess_since_ = 0;
   smooth_flexible_ = smooth_ordinary_ = -1;
 }
@@ -326,6 +327,13 @@
     return tasks;
   };
   const bool together = job.gang() && job.spec.one_zone;
+  // Renting by load takes any idle machine for room. A job that only some types or zones may run, and that still
+  // waits after the time of a boot, gets machines of its own; once in that time, so that they can come up.
+  const bool tied = !job.gang() && (!job.types.empty() || job.zone != jobs::kNone);
+  if (tied && out_.now() - job.seen_at > boot_s() && out_.now() - tied_asked_[job.ix] > boot_s()) {
+    tied_asked_[job.ix] = out_.now();
+    if (ask_for(job, static_cast<double>(job.pending.size()) * scheduler_.pressing(job, boot_s()))) return;
+  }
   if (!together && present({}) >= needed) return;
   for (Ix zone = 0; together && zone < registry_.zones.size(); ++zone) {
     if (present(zone) >= needed) return;
@@ -343,6 +351,26 @@
   }
 }
 
+// Machines for that many of the job's tasks, in the cheapest pool that it may use.
+bool Fleet::ask_for(const jobs::Job& job, double tasks) {
+  for (const bool as_spot : {true, false}) {
+    for (const auto& tier : pools(as_spot)) {
+      for (const Pool& p : tier) {
+        const wire::MachineType* t = type(p.type);
+        if (refused(p) || !t || !scheduler_.allowed(job, p.type, p.zone, p.spot)) continue;
+        const wire::Resources& n = job.spec.need;
+        if (n.cpus > t->cpus || n.gpus > t->gpus || n.memory_gb > t->memory_gb) continue;
+        const double each = std::max(1.0, std::floor(std::min(t->cpus / std::max(n.cpus, 1e-9),
+                                                              t->memory_gb / std::max(n.memory_gb, 1e-9))));
+        ask(p, std::clamp(static_cast<int>(std::ceil(tasks / each)), 1, kMostPerHire),
+            "a job that few machines may run");
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void Fleet::ask(const Pool& pool, int count, const char* why) {
   Hire h;
   // The token is this leadership's alone, so no other node can ever use the name.
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -65,6 +65,7 @@
   void reckon();
   void rent();
   void rent_for(const jobs::Job& job);
+  bool ask_for(const jobs::Job& job, double tasks);
   double fill(bool spot, double cores, const char* why);
   bool refused(const Pool& pool) const;
   Seconds boot_s() const;
@@ -95,6 +96,7 @@
   std::vector<Ix> draining_, faulty_, unborn_;
   std::map<Pool, Seconds> refused_until_;
   std::vector<Hire> hires_;
+  std::map<Ix, Seconds> tied_asked_;  // by job that only some machines may run: when some were last asked for
   std::map<Ix, Listing> listings_;
   std::set<Ix> seen_in_list_;
   std::set<Ix> to_return_;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -732,6 +732,14 @@
   if (second && !waiting_.empty()) reclaim_guarantees();
 }
 
+// What room comes free within the time that the job can spare needs no machine: its tasks run one after another. A
+// machine that is rented for it now comes after a boot, so what counts is the first time it can still meet then; and
+// one that would be of use for less than a boot's time is not worth one.
+double Scheduler::pressing(const Job& job, Seconds boot_s) const {
+  const double est = std::max(1.0, estimate(job));
+  return std::min(1.0, est / std::max(boot_s, due(job, boot_s) - out_.now() - est - boot_s));
+}
+
 // Whether spot machines do for it. A long array that could not be in time if it had to run a task once more is
 // worth ordinary machines.
 bool Scheduler::flexible(const Job& job) const {
@@ -765,15 +773,8 @@
     left[job.team] -= wait;
     const bool on_spot = flexible(job);
     (on_spot ? d.waiting_flexible : d.waiting_ordinary) += wait;
-    // What room comes free within the time that the job can spare needs no machine: its tasks run one after
-    // another. A machine that is rented for it now comes after a boot, so what counts is the first time it can
-    // still meet then; and one that would be of use for less than a boot's time is not worth one.
-    if (job.spec.spot) {
-      const double est = std::max(1.0, estimate(job));
-      const double spare = std::max(boot_s, due(job, boot_s) - out_.now() - est - boot_s);
-      wait *= std::min(1.0, est / spare);
-    }
-    (on_spot ? d.flexible : d.ordinary) += wait;
+    const double pressed = job.spec.spot ? wait * pressing(job, boot_s) : wait;
+    (on_spot ? d.flexible : d.ordinary) += pressed;
     (on_spot ? placed_flexible : d.ordinary) += placed;
   });
   // Machines must keep up with what comes, too, while what waits is worked off: after a start, or when machines
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -41,6 +41,8 @@
     double ordinary = 0, flexible = 0, waiting_ordinary = 0, waiting_flexible = 0;
   };
   Demand demand(Seconds boot_s);
+  // The part of its waiting tasks for which the job needs room of its own to be in time.
+  double pressing(const Job& job, Seconds boot_s) const;
   void offered(const Job& job);  // it is new to the service
   // Whether a machine with the job's image has room for one more of its tasks.
   bool could_move(const Job& job);
