A stopped task is dropped only if its start is known never to have arrived

A start that went out in the answer to a report counted as never sent 4.5 s later; stopped then, its task was started elsewhere while the worker, which had acted on the answer and not reported since, still ran it.

Change: only a later report of the worker can deny such a start.

--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -249,7 +249,7 @@
   // A worker has one report under way at a time: this one says that it has acted on the answer to the one
   // before, or never will.
   if (beat) {
-    for (Slot& s : m.slots) s.in_answer_until = 0;
+    for (Slot& s : m.slots) s.in_answer_until = 0, s.unproven = false;
   }
   std::size_t hint = 0;  // reports list tasks in the order in which they came
   for (const wire::TaskReport& t : r.tasks) {
--- a/src/agents/machine.hpp
+++ b/src/agents/machine.hpp
@@ -32,6 +32,8 @@
   // A start of this attempt went out in the answer to a report. The worker acts on it before it sends its next
   // report, or drops it: then no copy is left.
   Seconds in_answer_until = 0;
+  // That start may have been acted on: only the worker's next report can deny it, however late that comes.
+  bool unproven = false;
   // A start of this attempt got no answer, so a copy may still arrive. It is harmless as long as the worker
   // knows the attempt, so the attempt must not be forgotten (PROTOCOL: after `reap` a repeated start starts
   // it again).
@@ -45,6 +47,10 @@
   bool ends_at_once() const { return stop && grace_s == 0; }
   // Whether a start of it may still reach the worker.
   bool start_under_way(Seconds now) const { return in_flight || late_copy || now < in_answer_until; }
+  // Whether it is certain that no start of it has left, or ever arrived.
+  bool never_there(Seconds now) const {
+    return phase == Phase::ordered && !unproven && !start_under_way(now);
+  }
 };
 
 enum class Health : std::uint8_t { good, doubtful, bad };
--- a/src/agents/orders.cpp
+++ b/src/agents/orders.cpp
@@ -72,7 +72,9 @@
 void Agents::prune(Machine& m) {
   for (std::size_t i = m.slots.size(); i-- > 0;) {
     const Slot& s = m.slots[i];
-    if (s.phase == Slot::Phase::ordered && s.stop && !s.start_under_way(out_.now())) drop_slot(m, i);
+    // Time alone proves nothing: a worker may have acted on the answer to its report and fallen silent then. Taking
+    // such a task for one that never left ran it twice on a day of roamkvitto-core-grown.
+    if (s.stop && s.never_there(out_.now())) drop_slot(m, i);
   }
 }
 
@@ -100,7 +102,7 @@
     // A start and its stop at once need no start; the slot stays until the session tells that it never
     // arrived.
     if (s.phase != Slot::Phase::ordered || list.size() >= kOrdersPerCall) continue;
-    if (s.stop && !s.start_under_way(out_.now())) continue;
+    if (s.stop && s.never_there(out_.now())) continue;
     jobs::Job* job = registry_.at(s.job);
     if (!job || !job->open()) continue;
     list.push_back({V::start, s.name, s.attempt});
@@ -108,6 +110,7 @@
       s.in_flight = true;
     } else {
       s.in_answer_until = out_.now() + kWorkerWaits;
+      s.unproven = true;
     }
   }
   orders_sent_ += list.size();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -45,6 +45,12 @@
   to_return_.clear();
   refused_until_.clear();
   tied_asked_.clear();
+  // What the last reckoning found names machines of a leadership that is over (seed 201: used after it was freed).
+  stock_.clear();
+  zone_machines_.clear();
+  draining_.clear();
+  faulty_.clear();
+  unborn_.clear();
   excess_since_ = 0;
   smooth_flexible_ = smooth_ordinary_ = -1;
 }
