--- /dev/null
+++ b/src/daemon/admission.cpp
@@ -0,0 +1,360 @@
+// What users ask for: submissions, questions, cancellations.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "daemon/node.hpp"
+
+namespace wingtrail::daemon {
+namespace {
+constexpr Seconds kCreateTimeout = 2.5;
+constexpr std::size_t kFinalsKept = 50'000;  // some 100 bytes each
+}  // namespace
+
+// ---------------------------------------------------------------- submissions
+
+std::optional<std::string> Node::impossible(const wire::JobSpec& s) const {
+  const auto team = std::find_if(settings_.teams.begin(), settings_.teams.end(),
+                                 [&](const settings::Team& t) { return t.name == s.team; });
+  if (team == settings_.teams.end()) return "unknown team";
+  const double n = s.shape == wire::Shape::service ? s.tasks : 1;
+  if ((team->cpus_max > 0 && n * s.need.cpus > team->cpus_max + 1e-6) ||
+      (team->gpus_max > 0 && n * s.need.gpus > team->gpus_max + 1e-6)) {
+    return "more than the team's limit";
+  }
+  for (const auto& t : catalog_) {
+    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), t.name) == s.types.end()) continue;
+    if (s.zone && std::find(t.zones.begin(), t.zones.end(), *s.zone) == t.zones.end()) continue;
+    if (s.need.cpus <= t.cpus + 1e-6 && s.need.gpus <= t.gpus + 1e-6 &&
+        s.need.memory_gb <= t.memory_gb + 1e-6) {
+      return std::nullopt;
+    }
+  }
+  return "fits no allowed machine type";
+}
+
+void Node::submit(const From& from, const std::string& bytes) {
+  ++stats_.submitted;
+  const auto body = wire::decode_cbor(bytes);
+  auto spec = body ? wire::parse_job(*body) : wire::Result<wire::JobSpec>::fail("not CBOR");
+  if (!spec) {
+    ++stats_.refused;
+    return respond(from, 400, {{"error", spec.error()}});
+  }
+  if (answer_final(from, spec->ref, true)) return;
+  if (entitled()) {
+    if (jobs::Job* job = registry_.find(spec->ref)) return answer_live(from, *job, true);
+  }
+  // A node that does not know the machine types cannot decide; one that does may be next to it.
+  if (catalog_.empty()) {
+    if (from.by_peer) return try_later(from);
+    return hand_on(from, served_peer(), "POST", wire::kJobsPath, bytes, 3.0,
+                   [this, from] { try_later(from); });
+  }
+  if (auto why = impossible(*spec)) {
+    // The verdict rests on the catalog of today; a job that was accepted under another one stays accepted.
+    return refuse_unless_accepted(from, spec->ref, *why);
+  }
+  if (wire::job_record(*spec, out_.time_of_day()).dump().size() > settings_.value_bytes())
+    return refuse_unless_accepted(from, spec->ref, "too large to be kept; name fewer jobs or machine types");
+  if (!spec->waits_on.empty()) return check_needs(from, *spec, bytes);
+  create(from, *spec);
+}
+
+// A job that was accepted stays accepted, whatever its submission would be told today.
+void Node::refuse_unless_accepted(const From& from, const std::string& ref, const std::string& why) {
+  fresh(ref, store::Urgency::user, false,
+        [this, from, ref, why](int st, std::optional<wire::Phase> phase, const wire::Value&) {
+          if (st == 404) {
+            ++stats_.refused;
+            return respond(from, 422, {{"error", why}});
+          }
+          if (st == 200) return respond(from, 200, wire::job_state(ref, *phase));
+          try_later(from);
+        });
+}
+
+// ---------------------------------------------------------------- needed jobs
+
+// A job, once accepted, exists for ever: live or over. So whether those that a submission names were accepted
+// is asked before it is created, and need not be a condition of its creation.
+struct Node::Needs {
+  From from;
+  wire::JobSpec spec;
+  std::string bytes;
+  std::vector<std::string> unknown;  // still to be asked about
+};
+
+// A version that does not know of chains would start the job at once.
+bool Node::old_leader() const {
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    if (settings_.peers[i].name == election_.leader()) return peers_[i].level.value_or(peer::kLevel) < 1;
+  }
+  return false;
+}
+
+void Node::check_needs(const From& from, const wire::JobSpec& spec, const std::string& bytes) {
+  if (old_leader()) return try_later(from);
+  auto n = std::make_shared<Needs>(Needs{from, spec, bytes, {}});
+  for (const std::string& ref : spec.waits_on) {
+    if (ref == spec.ref) return refuse_unless_accepted(from, spec.ref, "waitsOn: the job names itself");
+    if (finals_.contains(ref) || (entitled() && registry_.find(ref))) continue;
+    n->unknown.push_back(ref);
+  }
+  check_some_needs(n);
+}
+
+// One comparison for as many as it may have conditions: of each job that was accepted, one of the two keys
+// exists and is named in the answer.
+void Node::check_some_needs(const std::shared_ptr<Needs>& n) {
+  if (n->unknown.empty()) return create(n->from, n->spec);
+  wire::Txn txn;
+  std::vector<std::string> asked;
+  while (!n->unknown.empty() && txn.conditions() + 2 <= 4 * settings_.txn_ops) {
+    asked.push_back(std::move(n->unknown.back()));
+    n->unknown.pop_back();
+    txn.require(jobs::kLive + asked.back(), 0).require(jobs::kFinal + asked.back(), 0);
+  }
+  store_.txn(std::move(txn), store::Urgency::user, ports::kNever,
+             [this, n, asked = std::move(asked)](const store::Reply& r) {
+               if (r.status != 200 && r.status != 409) {
+                 // This node alone may be refused; a peer that is served can find out just as well.
+                 const auto peer = n->from.by_peer ? std::nullopt : served_peer(peer::kLevel);
+                 return hand_on(n->from, peer, "POST", wire::kJobsPath, n->bytes, kCreateTimeout,
+                                [this, n, status = r.status] { try_later(n->from, status == 429 ? 429 : 503); });
+               }
+               const auto exist = r.status == 409 ? wire::failed_keys(r.body) : std::vector<std::string>{};
+               const auto has = [&exist](const std::string& key) {
+                 return std::find(exist.begin(), exist.end(), key) != exist.end();
+               };
+               for (const std::string& ref : asked) {
+                 if (!has(jobs::kLive + ref) && !has(jobs::kFinal + ref))
+                   return refuse_unless_accepted(n->from, n->spec.ref,
+                                                 "waitsOn: " + ref + " was never accepted");
+               }
+               check_some_needs(n);
+             });
+}
+
+// ---------------------------------------------------------------- creation
+
+// A creation under way: at this node, and if that takes long or fails, at a peer beside it. The first that
+// comes to an end tells the user; a failure is told only when there is nothing left to wait for.
+struct Node::Creation {
+  From from;
+  wire::JobSpec spec;
+  wire::Value value;
+  bool answered = false, own_open = false, peer_open = false, peer_asked = false;
+  int refusal = 503;
+  wire::Value verdict = nullptr;  // why a peer refused it for good
+};
+
+void Node::create(const From& from, const wire::JobSpec& spec) {
+  auto c = std::make_shared<Creation>(Creation{from, spec, wire::job_record(spec, out_.time_of_day())});
+  // A node that the state service does not answer asks a peer at once instead of finding out again at its
+  // user's cost.
+  if (!from.by_peer && !store_.healthy()) create_at_peer(c);
+  if (c->answered) return;
+  wire::Txn txn;
+  txn.require(jobs::kLive + spec.ref, 0).require(jobs::kFinal + spec.ref, 0);
+  txn.put(jobs::kLive + spec.ref, c->value);
+  c->own_open = true;
+  store_.txn(std::move(txn), store::Urgency::user, ports::kNever, [this, c](const store::Reply& r) {
+    c->own_open = false;
+    // The watch will tell too; this saves the leader's own submissions the way there and back.
+    if (r.status == 200 && entitled()) job_seen(c->value, wire::revision(r.body).value_or(0));
+    if (c->answered) return;
+    if (r.status == 200) {
+      c->answered = true;
+      ++stats_.admitted;
+      return respond(c->from, 201, wire::job_state(c->spec.ref, wire::Phase::queued));
+    }
+    if (r.status == 409) {
+      c->answered = true;
+      return answer_fresh(c->from, c->spec.ref, true);
+    }
+    if (r.status == 429) c->refusal = 429;
+    if (r.status == 400) spdlog::error("{}: the state service calls its creation malformed", c->spec.ref);
+    // This node alone may be refused; a peer that is served can admit the job just as well.
+    if (!c->peer_asked) create_at_peer(c);
+    give_up_creation(c);
+  });
+  if (c->answered || from.by_peer) return;
+  out_.after(store_.patience(), [this, c] {
+    if (!c->answered && !c->peer_asked && c->own_open) create_at_peer(c);
+  });
+}
+
+void Node::create_at_peer(const std::shared_ptr<Creation>& c) {
+  const auto peer = c->from.by_peer ? std::nullopt : served_peer(c->spec.waits_on.empty() ? 0 : peer::kLevel);
+  if (!peer) return;
+  c->peer_asked = c->peer_open = true;
+  ask_peer(*peer, "POST", wire::kJobsPath, wire::encode_cbor(c->value), kCreateTimeout,
+           [this, c](int status, const wire::Value& body) {
+             c->peer_open = false;
+             if (c->answered) return;
+             if (status == 200 || status == 201) {
+               c->answered = true;
+               return respond(c->from, status, body);
+             }
+             if (status == 400 || status == 422) c->refusal = status, c->verdict = body;
+             give_up_creation(c);
+           });
+}
+
+void Node::give_up_creation(const std::shared_ptr<Creation>& c) {
+  if (c->answered || c->own_open || c->peer_open) return;
+  c->answered = true;
+  if (!c->verdict.is_null()) return respond(c->from, c->refusal, c->verdict);
+  try_later(c->from, c->refusal);
+}
+
+// ---------------------------------------------------------------- states
+
+void Node::remember(const std::string& ref, const wire::Ended& ended) {
+  if (!finals_.emplace(ref, ended).second) return;
+  if (election_.leading())
+    chains_.ended(ref, {ended.phase == wire::Phase::done, ended.at ? steady(*ended.at) : out_.now()});
+  finals_order_.push_back(ref);
+  if (finals_order_.size() > kFinalsKept) {
+    finals_.erase(finals_order_.front());
+    finals_order_.pop_front();
+  }
+}
+
+bool Node::answer_final(const From& from, const std::string& ref, bool brief) {
+  auto it = finals_.find(ref);
+  if (it == finals_.end()) return false;
+  const wire::Phase phase = it->second.phase;
+  const std::uint32_t tasks = it->second.tasks;
+  respond(from, 200,
+          brief ? wire::job_state(ref, phase)
+                : wire::job_progress(ref, phase, phase == wire::Phase::done ? tasks : 0, 0));
+  return true;
+}
+
+void Node::answer_live(const From& from, jobs::Job& job, bool brief) {
+  // A job that it needs is cancelled, and so is it; but its own end is told only once it is recorded.
+  if (job.orphan) return try_later(from);
+  respond(from, 200,
+          brief ? wire::job_state(job.spec.ref, job.phase())
+                : wire::job_progress(job.spec.ref, job.phase(), job.done, job.running));
+}
+
+// One comparison settles what most questions about unknown jobs come to; a read follows only if the job
+// exists.
+void Node::fresh(const std::string& ref, store::Urgency urgency, bool need_spec, const OnFresh& then) {
+  wire::Txn txn;
+  txn.require(jobs::kLive + ref, 0).require(jobs::kFinal + ref, 0);
+  store_.txn(
+      std::move(txn), urgency, ports::kNever, [this, ref, urgency, need_spec, then](const store::Reply& r) {
+        if (r.status == 200) return then(404, {}, nullptr);
+        if (r.status != 409) return then(r.status == 429 ? 429 : 503, {}, nullptr);
+        // The comparison says which of the two exists: at that moment the job lived, or was over.
+        const auto failed = wire::failed_keys(r.body);
+        const bool over = std::find(failed.begin(), failed.end(), jobs::kFinal + ref) != failed.end();
+        if (!over && !failed.empty() && !need_spec) return then(200, wire::Phase::queued, nullptr);
+        if (!over && !failed.empty()) {
+          return store_.get(jobs::kLive + ref, urgency, [then](const store::Reply& l) {
+            const auto item = l.status == 200 ? wire::parse_item(l.body) : wire::Result<wire::Item>::fail("");
+            // Not there any more: it has become final since. Asking again will tell.
+            if (!item) return then(503, {}, nullptr);
+            then(200, wire::Phase::queued, wire::Value{{"spec", item->value}, {"version", item->version}});
+          });
+        }
+        store_.get(jobs::kFinal + ref, urgency, [this, ref, then](const store::Reply& f) {
+          const auto item = f.status == 200 ? wire::parse_item(f.body) : wire::Result<wire::Item>::fail("");
+          const auto ended = item ? wire::parse_ended(item->value) : std::nullopt;
+          if (!ended) return then(503, {}, nullptr);
+          remember(ref, *ended);
+          then(200, ended->phase, nullptr);
+        });
+      });
+}
+
+void Node::answer_fresh(const From& from, const std::string& ref, bool brief) {
+  // Questions come again in a few seconds anyway; submissions and cancellations go before them. The leader
+  // takes a job that it does not know in.
+  const auto urgency = brief ? store::Urgency::user : store::Urgency::background;
+  fresh(ref, urgency, entitled(),
+        [this, from, ref, brief](int st, std::optional<wire::Phase> phase, const wire::Value& live) {
+          if (st != 200) {
+            if (st == 404) return respond(from, 404);
+            return try_later(from, st);
+          }
+          if (answer_final(from, ref, brief)) return;
+          if (entitled() && !live.is_null()) job_seen(live["spec"], live["version"].get<std::uint64_t>());
+          respond(from, 200, brief ? wire::job_state(ref, *phase) : wire::job_progress(ref, *phase, 0, 0));
+        });
+}
+
+void Node::status(const From& from, const std::string& ref) {
+  if (answer_final(from, ref, false)) return;
+  if (entitled()) {
+    if (jobs::Job* job = registry_.find(ref)) return answer_live(from, *job, false);
+    return answer_fresh(from, ref, false);
+  }
+  if (from.by_peer) {
+    if (store_.healthy()) return answer_fresh(from, ref, false);
+    return try_later(from);
+  }
+  auto otherwise = [this, from, ref] { answer_fresh(from, ref, false); };
+  hand_on(from, leader_peer(), "GET", std::string(wire::kJobsPath) + "/" + ref, "", 0.7, otherwise);
+}
+
+// ---------------------------------------------------------------- cancellation
+
+void Node::abort(const From& from, const std::string& ref) {
+  if (answer_final(from, ref, true)) return;
+  const std::string path = std::string(wire::kJobsPath) + "/" + ref + wire::kAbortSuffix;
+  if (!entitled()) {
+    if (from.by_peer) return try_later(from);
+    return hand_on(from, leader_peer(), "POST", path, "", 3.0,
+                   [this, from, ref] { leave_intent(from, ref); });
+  }
+  auto close = [this, from, ref](jobs::Job& job) {
+    ledger_.close(job, wire::Phase::cancelled, [this, from, ref] {
+      if (!answer_final(from, ref, true)) try_later(from);
+    });
+    agents_.cancel(job);
+  };
+  if (jobs::Job* job = registry_.find(ref)) return close(*job);
+  fresh(ref, store::Urgency::user, true,
+        [this, from, ref, close](int st, std::optional<wire::Phase>, const wire::Value& live) {
+          if (st == 404) return respond(from, 404);
+          if (st != 200) return try_later(from, st);
+          if (answer_final(from, ref, true)) return;
+          if (entitled() && !live.is_null()) job_seen(live["spec"], live["version"].get<std::uint64_t>());
+          jobs::Job* job = entitled() ? registry_.find(ref) : nullptr;
+          if (!job) return try_later(from);
+          close(*job);
+        });
+}
+
+// While the leader cannot be reached by its peers, it may well read what they leave in the state service. The
+// user is told to come back: only the leader decides whether the job was done first.
+void Node::leave_intent(const From& from, const std::string& ref) {
+  fresh(ref, store::Urgency::user, true,
+        [this, from, ref](int st, std::optional<wire::Phase>, const wire::Value& live) {
+          if (st == 404) return respond(from, 404);
+          if (st != 200) return try_later(from, st);
+          if (answer_final(from, ref, true)) return;
+          wire::Txn txn;
+          txn.require(jobs::kLive + ref, live["version"].get<std::uint64_t>());
+          txn.put(jobs::kLive + ref + jobs::kAbortMark, true);
+          store_.txn(std::move(txn), store::Urgency::user, ports::kNever, [](const store::Reply&) {});
+          try_later(from);
+        });
+}
+
+void Node::intent_seen(const std::string& key) {
+  const std::size_t prefix = std::string_view(jobs::kLive).size(),
+                    mark = std::string_view(jobs::kAbortMark).size();
+  jobs::Job* job = registry_.find(key.substr(prefix, key.size() - prefix - mark));
+  if (!job || !job->open()) return;
+  job->intent = true;
+  ledger_.close(*job, wire::Phase::cancelled, {});
+  agents_.cancel(*job);
+}
+
+}  // namespace wingtrail::daemon
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include <charconv>
+#include <chrono>
 #include <cmath>
 
 namespace wingtrail::daemon {
@@ -68,7 +69,9 @@
   if (auto why = peer_server_.listen()) return why;
   spdlog::info("{} in {}: serving users and workers on {}, peers on {}", settings_.node, settings_.zone,
                settings_.client_listen.text(), settings_.peer_listen.text());
-  node_.start(loop_.refresh());
+  loop_.refresh();
+  tell_time();
+  node_.start(loop_.now());
   loop_.before_sleep([this] {
     act();
     return node_.next_wake() <= loop_.now() ? loop_.now() : node_.next_wake();
@@ -77,10 +80,20 @@
   return std::nullopt;
 }
 
+// The time of day is set and slewed from outside, so it is looked at again and again.
+void Daemon::tell_time() {
+  constexpr Seconds kEvery = 1;
+  if (loop_.now() < told_time_ + kEvery) return;
+  told_time_ = loop_.refresh();
+  const std::chrono::duration<double> day = std::chrono::system_clock::now().time_since_epoch();
+  node_.set_day_offset(day.count() - told_time_);
+}
+
 // Ticks the node if it is time, and carries out what it decided.
 void Daemon::act() {
   if (acting_) return;
   acting_ = true;
+  tell_time();
   if (node_.next_wake() <= loop_.now()) node_.tick(loop_.now());
   for (auto actions = node_.drain(); !actions.empty(); actions = node_.drain()) {
     for (ports::Action& action : actions) {
@@ -241,6 +254,14 @@
   total("wingtrail_direct_calls_total", "calls to workers, beside answers to their reports", s.direct_calls);
   total("wingtrail_deadlines_total", "deadlines of machines looked at", s.deadlines);
   total("wingtrail_state_writes_total", "puts and deletes sent as leader", s.state_writes);
+  total("wingtrail_writes_of_ends_total", "of these, for jobs that are over", s.ends_written);
+  total("wingtrail_writes_of_roster_total", "of these, pages of machines", s.roster_written);
+  total("wingtrail_writes_of_progress_total", "of these, pages of completed tasks", s.progress_written);
+  total("wingtrail_pages_divided_total", "pages found larger than may be written", s.pages_divided);
+  total("wingtrail_writes_malformed_total", "transactions that the state service called malformed", s.malformed);
+  gauge("wingtrail_held_jobs", "live jobs that wait for others", static_cast<double>(s.held_jobs));
+  total("wingtrail_chains_ready_total", "jobs whose needs were met", s.chains_ready);
+  total("wingtrail_orphaned_total", "jobs cancelled with one that they need", s.orphaned);
   total("wingtrail_tasks_started_total", "tasks placed on machines", s.tasks_started);
   total("wingtrail_tasks_preempted_total", "tasks stopped for work of higher priority", s.preempted);
   total("wingtrail_tasks_reclaimed_total", "tasks stopped for another team's guarantee", s.reclaimed);
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -20,6 +20,7 @@
   net::Co<net::Response> serve_peer(net::Request request);
   net::Routine carry_out(ports::Call call);
   void act();
+  void tell_time();
   std::string metrics() const;
 
   settings::Settings settings_;
@@ -31,6 +32,7 @@
   std::uint64_t last_request_ = 0;
   std::unordered_map<std::uint64_t, net::Slot<ports::Answer>*> open_;
   bool acting_ = false;
+  Seconds told_time_ = -1e9;
 };
 
 }  // namespace wingtrail::daemon
--- /dev/null
+++ b/src/daemon/leading.cpp
@@ -0,0 +1,241 @@
+// A leadership: what is read at its beginning, what comes in during it, and its end.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "daemon/node.hpp"
+
+namespace wingtrail::daemon {
+
+// ---------------------------------------------------------------- leading
+
+void Node::elected() {
+  ++term_;
+  loaded_ = false;
+  intents_.clear();
+  registry_.clear();
+  chains_.clear();
+  to_ask_.clear();
+  asking_ = 0;
+  scheduler_.clear();
+  ledger_.begin();
+  agents_.begin();
+  agents_.set_catalog(catalog_);
+  load(jobs::kLive, "", term_);
+}
+
+void Node::lost() {
+  ++term_;
+  loaded_ = false;
+  ledger_.end();
+  agents_.end();
+  fleet_.end();
+  scheduler_.clear();
+  chains_.clear();
+  registry_.clear();
+}
+
+void Node::load(const char* prefix, const std::string& after, std::uint64_t term) {
+  store_.range(prefix, after, [this, prefix, after, term](const store::Reply& r) {
+    if (term != term_) return;
+    auto range = r.status == 200 ? wire::parse_range(r.body) : wire::Result<wire::Range>::fail("");
+    if (!range) {
+      return out_.after(0.2, [this, prefix, after, term] {
+        if (term == term_) load(prefix, after, term);
+      });
+    }
+    // Changes after the first page's revision are seen by the watch; seeing one twice does no harm.
+    if (prefix == jobs::kLive && after.empty()) jobs_revision_ = range->revision;
+    for (const wire::Item& item : range->items) load_item(prefix, item);
+    if (range->more && !range->items.empty()) return load(prefix, range->items.back().key, term);
+    if (prefix == jobs::kLive) return load(jobs::kProgress, "", term);
+    if (prefix == jobs::kProgress) return load(jobs::kRoster, "", term);
+    loaded();
+  });
+}
+
+void Node::load_item(const char* prefix, const wire::Item& item) {
+  if (prefix == jobs::kLive && item.key.ends_with(jobs::kAbortMark)) {
+    intents_.push_back(item.key);  // acted on when all is loaded
+  } else if (prefix == jobs::kLive) {
+    learn_job(item.value, item.version);
+  } else if (prefix == jobs::kProgress) {
+    if (!ledger_.load_progress(item.key, item.value)) spdlog::error("{}: unreadable progress", item.key);
+  } else {
+    const bool good = ledger_.load_roster(
+        item.key, item.value, [this](const wire::Value& record) { return agents_.roster(record).ix; });
+    if (!good) spdlog::error("{}: an unreadable page of the roster", item.key);
+  }
+}
+
+void Node::loaded() {
+  loaded_ = true;
+  last_report_ = 0;
+  reach_since_ = out_.now();
+  spdlog::info("loaded {} jobs and {} machines", registry_.live(), agents_.all().size());
+  fleet_.begin();
+  agents_.tick();
+  for (const std::string& key : std::exchange(intents_, {})) intent_seen(key);
+  std::vector<jobs::Job*> all;
+  registry_.each([&all](jobs::Job& job) { all.push_back(&job); });
+  for (jobs::Job* job : all) chains_.join(*job);
+  chains_.spread_urgency();
+  for (jobs::Job* job : all) {
+    done_if_complete(*job);
+    scheduler_.arrived(*job);
+  }
+  follow_chains();
+  follow_jobs(jobs_revision_, term_);
+  keep_catalog();
+}
+
+void Node::follow_jobs(std::uint64_t after, std::uint64_t term) {
+  store_.watch(jobs::kLive, after, [this, after, term](const store::Reply& r) {
+    if (term != term_) return;
+    auto changes = r.status == 200 ? wire::parse_changes(r.body) : wire::Result<wire::Changes>::fail("");
+    if (changes) {
+      for (const wire::Change& c : changes->events) {
+        if (!c.deleted) live_key_seen(c.key, c.value, c.version);
+      }
+      return follow_jobs(std::max(after, changes->revision), term);
+    }
+    if (r.status == 410) {
+      // Too far behind: everything is read again. What is known already stays as it is.
+      return out_.after(0.2, [this, term] {
+        if (term != term_) return;
+        store_.range(jobs::kLive, "", [this, term](const store::Reply& again) {
+          if (term != term_) return;
+          auto range =
+              again.status == 200 ? wire::parse_range(again.body) : wire::Result<wire::Range>::fail("");
+          if (range) {
+            for (const wire::Item& i : range->items) live_key_seen(i.key, i.value, i.version);
+          }
+          follow_jobs(range ? range->revision : 0, term);
+        });
+      });
+    }
+    out_.after(0.3, [this, after, term] {
+      if (term == term_) follow_jobs(after, term);
+    });
+  });
+}
+
+void Node::live_key_seen(const std::string& key, const wire::Value& value, std::uint64_t version) {
+  key.ends_with(jobs::kAbortMark) ? intent_seen(key) : job_seen(value, version);
+}
+
+void Node::job_seen(const wire::Value& value, std::uint64_t version) {
+  const auto ref = wire::text(value, "ref").value_or("");
+  if (finals_.contains(ref) || registry_.find(ref)) return;
+  jobs::Job* job = learn_job(value, version);
+  if (!job) return;
+  chains_.join(*job);
+  chains_.spread_urgency();
+  if (!job->held()) {
+    scheduler_.offered(*job);
+    scheduler_.arrived(*job);
+  }
+  follow_chains();
+}
+
+jobs::Job* Node::learn_job(const wire::Value& value, std::uint64_t version) {
+  auto spec = wire::parse_job(value);
+  if (!spec) {
+    spdlog::error("a record that is not a job: {}", spec.error());
+    return nullptr;
+  }
+  // Versions before chains kept no time: then it counts from when this leader learns of the job.
+  const auto at = wire::submitted_at(value);
+  return &registry_.add(*spec, version, at ? steady(*at) : out_.now());
+}
+
+Seconds Node::steady(double time_of_day) const {
+  return out_.now() - std::max(0.0, out_.time_of_day() - time_of_day);
+}
+
+void Node::done_if_complete(jobs::Job& job) {
+  if (!job.open() || job.service() || job.done < job.spec.tasks) return;
+  ledger_.close(job, wire::Phase::done, {});
+}
+
+void Node::job_closed(jobs::Job& job) {
+  remember(job.spec.ref, {job.final_phase, job.spec.tasks, out_.time_of_day()});
+  ++(job.final_phase == wire::Phase::done ? stats_.completed : stats_.cancelled);
+  spdlog::info(
+      "{} ({} of {}) is {} after {:.1f} s, its last start after {:.1f} s, estimated at {:.1f} s; {} of its "
+      "{} "
+      "tasks had to start again",
+      job.spec.ref, job.spec.job_class, job.spec.team, wire::phase_name(job.final_phase),
+      out_.now() - job.since, std::max(0.0, job.last_start - job.since), scheduler_.estimate(job),
+      job.lost, job.spec.tasks);
+  scheduler_.over(job);
+  registry_.drop_if_over(job);
+  follow_chains();
+}
+
+// ---------------------------------------------------------------- chains
+
+void Node::follow_chains() {
+  for (const jobs::Ix ix : chains_.take_ready()) {
+    jobs::Job* job = registry_.at(ix);
+    if (!job || !job->open()) continue;
+    ++stats_.chains_ready;
+    spdlog::debug("{}: all that it needs is done", job->spec.ref);
+    scheduler_.offered(*job);
+    scheduler_.arrived(*job);
+  }
+  for (const jobs::Ix ix : chains_.take_orphans()) {
+    jobs::Job* job = registry_.at(ix);
+    if (!job || !job->open()) continue;
+    ++stats_.orphaned;
+    spdlog::info("{} is cancelled with a job that it needs", job->spec.ref);
+    ledger_.close_orphan(*job);
+    agents_.cancel(*job);  // nothing of it runs, unless a version without chains led in between
+  }
+  for (std::string& ref : chains_.take_unknown()) to_ask_.push_back(std::move(ref));
+  ask_about_needs();
+}
+
+void Node::ask_about_needs() {
+  constexpr int kAtOnce = 8;  // a take-over may have hundreds to ask about, and others need the state service too
+  while (entitled() && asking_ < kAtOnce && !to_ask_.empty()) {
+    const std::string ref = std::move(to_ask_.front());
+    to_ask_.pop_front();
+    if (chains_.asks_for(ref)) ask_about(ref);
+  }
+}
+
+// Most needed jobs that are not live were over before this leadership. One that is not over either was created
+// a moment ago, and its creation has not been seen here yet. Absent is never taken for done.
+void Node::ask_about(const std::string& ref) {
+  ++asking_;
+  store_.get(jobs::kFinal + ref, store::Urgency::user, [this, ref, term = term_](const store::Reply& r) {
+    if (term != term_) return;
+    --asking_;
+    const auto item = r.status == 200 ? wire::parse_item(r.body) : wire::Result<wire::Item>::fail("");
+    if (const auto ended = item ? wire::parse_ended(item->value) : std::nullopt) {
+      remember(ref, *ended);
+      return follow_chains();
+    }
+    const auto again = [this, ref, term] {
+      out_.after(0.5, [this, ref, term] {
+        if (term == term_ && chains_.asks_for(ref)) to_ask_.push_back(ref);
+      });
+    };
+    if (r.status != 404) return again();
+    ++asking_;
+    fresh(ref, store::Urgency::user, true,
+          [this, ref, term, again](int st, std::optional<wire::Phase>, const wire::Value& live) {
+            if (term != term_) return;
+            --asking_;
+            if (st == 200 && !live.is_null())
+              job_seen(live["spec"], live["version"].get<std::uint64_t>());
+            else if (st == 404)
+              spdlog::error("{} is needed but was never accepted", ref);
+            follow_chains();
+            if (chains_.asks_for(ref)) again();
+          });
+  });
+}
+
+}  // namespace wingtrail::daemon
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -13,9 +13,7 @@
 constexpr Seconds kCatalogEvery = 60;
 constexpr Seconds kBouncedWindow = 4;
 constexpr Seconds kRedirected = 2;  // a worker that was sent here has reported by then
-constexpr Seconds kCreateTimeout = 2.5;
 constexpr const char* kCatalogKey = "catalog";
-constexpr std::size_t kFinalsKept = 50'000;  // some 100 bytes each
 }  // namespace
 
 Node::Node(settings::Settings settings, std::uint64_t seed)
@@ -23,6 +21,13 @@
       store_(out_, settings_),
       registry_(settings_),
       election_(out_, store_, settings_, {[this] { elected(); }, [this] { lost(); }}),
+      chains_(registry_, {[this](const std::string& ref) -> std::optional<jobs::Chains::End> {
+                            const auto it = finals_.find(ref);
+                            if (it == finals_.end()) return std::nullopt;
+                            const wire::Ended& e = it->second;
+                            return jobs::Chains::End{e.phase == wire::Phase::done, e.at ? steady(*e.at) : 0};
+                          },
+                          [this](const jobs::Job& job) { return scheduler_.span(job); }}),
       ledger_(out_, store_, registry_, settings_,
               {[this] { return election_.token(); }, [this] { return election_.authority_until(); },
                [this] { election_.superseded("a write found another leader"); }, lead::kKey}),
@@ -90,7 +95,13 @@
   s.machines = agents_.live().size();
   s.direct_calls = agents_.direct_calls();
   s.deadlines = agents_.checks();
-  s.state_writes = ledger_.writes();
+  s.ends_written = ledger_.writes().ends;
+  s.roster_written = ledger_.writes().roster;
+  s.progress_written = ledger_.writes().progress;
+  s.state_writes = s.ends_written + s.roster_written + s.progress_written;
+  s.pages_divided = ledger_.divided();
+  s.malformed = ledger_.refused();
+  s.held_jobs = registry_.held();
   s.record_pages = ledger_.pages();
   s.tasks_started = scheduler_.started();
   s.machines_examined = scheduler_.machines_examined();
@@ -166,272 +177,6 @@
   out_.answer(std::move(a));
 }
 
-// ---------------------------------------------------------------- submissions
-
-std::optional<std::string> Node::impossible(const wire::JobSpec& s) const {
-  const auto team = std::find_if(settings_.teams.begin(), settings_.teams.end(),
-                                 [&](const settings::Team& t) { return t.name == s.team; });
-  if (team == settings_.teams.end()) return "unknown team";
-  const double n = s.shape == wire::Shape::service ? s.tasks : 1;
-  if ((team->cpus_max > 0 && n * s.need.cpus > team->cpus_max + 1e-6) ||
-      (team->gpus_max > 0 && n * s.need.gpus > team->gpus_max + 1e-6)) {
-    return "more than the team's limit";
-  }
-  for (const auto& t : catalog_) {
-    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), t.name) == s.types.end()) continue;
-    if (s.zone && std::find(t.zones.begin(), t.zones.end(), *s.zone) == t.zones.end()) continue;
-    if (s.need.cpus <= t.cpus + 1e-6 && s.need.gpus <= t.gpus + 1e-6 &&
-        s.need.memory_gb <= t.memory_gb + 1e-6) {
-      return std::nullopt;
-    }
-  }
-  return "fits no allowed machine type";
-}
-
-void Node::submit(const From& from, const std::string& bytes) {
-  ++stats_.submitted;
-  const auto body = wire::decode_cbor(bytes);
-  auto spec = body ? wire::parse_job(*body) : wire::Result<wire::JobSpec>::fail("not CBOR");
-  if (!spec) {
-    ++stats_.refused;
-    return respond(from, 400, {{"error", spec.error()}});
-  }
-  if (answer_final(from, spec->ref, true)) return;
-  if (entitled()) {
-    if (jobs::Job* job = registry_.find(spec->ref)) return answer_live(from, *job, true);
-  }
-  // A node that does not know the machine types cannot decide; one that does may be next to it.
-  if (catalog_.empty()) {
-    if (from.by_peer) return try_later(from);
-    return hand_on(from, served_peer(), "POST", wire::kJobsPath, bytes, 3.0,
-                   [this, from] { try_later(from); });
-  }
-  if (auto why = impossible(*spec)) {
-    // The verdict rests on the catalog of today; a job that was accepted under another one stays accepted.
-    return fresh(spec->ref, store::Urgency::user, false,
-                 [this, from, ref = spec->ref, why = *why](int st, std::optional<wire::Phase> phase,
-                                                           const wire::Value&) {
-                   if (st == 404) {
-                     ++stats_.refused;
-                     return respond(from, 422, {{"error", why}});
-                   }
-                   if (st == 200) return respond(from, 200, wire::job_state(ref, *phase));
-                   try_later(from);
-                 });
-  }
-  create(from, *spec);
-}
-
-// A creation under way: at this node, and if that takes long or fails, at a peer beside it. The first that
-// comes to an end tells the user; a failure is told only when there is nothing left to wait for.
-struct Node::Creation {
-  From from;
-  wire::JobSpec spec;
-  wire::Value value;
-  bool answered = false, own_open = false, peer_open = false, peer_asked = false;
-  int refusal = 503;
-};
-
-void Node::create(const From& from, const wire::JobSpec& spec) {
-  auto c = std::make_shared<Creation>(Creation{from, spec, wire::job_value(spec)});
-  // A node that the state service does not answer asks a peer at once instead of finding out again at its
-  // user's cost.
-  if (!from.by_peer && !store_.healthy() && served_peer()) create_at_peer(c);
-  if (c->answered) return;
-  wire::Txn txn;
-  txn.require(jobs::kLive + spec.ref, 0).require(jobs::kFinal + spec.ref, 0);
-  txn.put(jobs::kLive + spec.ref, c->value);
-  c->own_open = true;
-  store_.txn(std::move(txn), store::Urgency::user, ports::kNever, [this, c](const store::Reply& r) {
-    c->own_open = false;
-    // The watch will tell too; this saves the leader's own submissions the way there and back.
-    if (r.status == 200 && entitled()) job_seen(c->value, wire::revision(r.body).value_or(0));
-    if (c->answered) return;
-    if (r.status == 200) {
-      c->answered = true;
-      ++stats_.admitted;
-      return respond(c->from, 201, wire::job_state(c->spec.ref, wire::Phase::queued));
-    }
-    if (r.status == 409) {
-      c->answered = true;
-      return answer_fresh(c->from, c->spec.ref, true);
-    }
-    if (r.status == 429) c->refusal = 429;
-    // This node alone may be refused; a peer that is served can admit the job just as well.
-    if (!c->peer_asked) create_at_peer(c);
-    give_up_creation(c);
-  });
-  if (c->answered || from.by_peer) return;
-  out_.after(store_.patience(), [this, c] {
-    if (!c->answered && !c->peer_asked && c->own_open) create_at_peer(c);
-  });
-}
-
-void Node::create_at_peer(const std::shared_ptr<Creation>& c) {
-  const auto peer = c->from.by_peer ? std::nullopt : served_peer();
-  if (!peer) return;
-  c->peer_asked = c->peer_open = true;
-  ask_peer(*peer, "POST", wire::kJobsPath, wire::encode_cbor(c->value), kCreateTimeout,
-           [this, c](int status, const wire::Value& body) {
-             c->peer_open = false;
-             if (c->answered) return;
-             if (status == 200 || status == 201) {
-               c->answered = true;
-               return respond(c->from, status, body);
-             }
-             give_up_creation(c);
-           });
-}
-
-void Node::give_up_creation(const std::shared_ptr<Creation>& c) {
-  if (c->answered || c->own_open || c->peer_open) return;
-  c->answered = true;
-  try_later(c->from, c->refusal);
-}
-
-// ---------------------------------------------------------------- states
-
-void Node::remember(const std::string& ref, wire::Phase phase, std::uint32_t tasks) {
-  if (!finals_.emplace(ref, Final{phase, tasks}).second) return;
-  finals_order_.push_back(ref);
-  if (finals_order_.size() > kFinalsKept) {
-    finals_.erase(finals_order_.front());
-    finals_order_.pop_front();
-  }
-}
-
-bool Node::answer_final(const From& from, const std::string& ref, bool brief) {
-  auto it = finals_.find(ref);
-  if (it == finals_.end()) return false;
-  const auto [phase, tasks] = it->second;
-  respond(from, 200,
-          brief ? wire::job_state(ref, phase)
-                : wire::job_progress(ref, phase, phase == wire::Phase::done ? tasks : 0, 0));
-  return true;
-}
-
-void Node::answer_live(const From& from, jobs::Job& job, bool brief) {
-  respond(from, 200,
-          brief ? wire::job_state(job.spec.ref, job.phase())
-                : wire::job_progress(job.spec.ref, job.phase(), job.done, job.running));
-}
-
-// One comparison settles what most questions about unknown jobs come to; a read follows only if the job
-// exists.
-void Node::fresh(const std::string& ref, store::Urgency urgency, bool need_spec, const OnFresh& then) {
-  wire::Txn txn;
-  txn.require(jobs::kLive + ref, 0).require(jobs::kFinal + ref, 0);
-  store_.txn(
-      std::move(txn), urgency, ports::kNever, [this, ref, urgency, need_spec, then](const store::Reply& r) {
-        if (r.status == 200) return then(404, {}, nullptr);
-        if (r.status != 409) return then(r.status == 429 ? 429 : 503, {}, nullptr);
-        // The comparison says which of the two exists: at that moment the job lived, or was over.
-        const auto failed = wire::failed_keys(r.body);
-        const bool over = std::find(failed.begin(), failed.end(), jobs::kFinal + ref) != failed.end();
-        if (!over && !failed.empty() && !need_spec) return then(200, wire::Phase::queued, nullptr);
-        if (!over && !failed.empty()) {
-          return store_.get(jobs::kLive + ref, urgency, [then](const store::Reply& l) {
-            const auto item = l.status == 200 ? wire::parse_item(l.body) : wire::Result<wire::Item>::fail("");
-            // Not there any more: it has become final since. Asking again will tell.
-            if (!item) return then(503, {}, nullptr);
-            then(200, wire::Phase::queued, wire::Value{{"spec", item->value}, {"version", item->version}});
-          });
-        }
-        store_.get(jobs::kFinal + ref, urgency, [this, ref, then](const store::Reply& f) {
-          const auto item = f.status == 200 ? wire::parse_item(f.body) : wire::Result<wire::Item>::fail("");
-          const auto phase = item ? wire::parse_phase(item->value) : std::nullopt;
-          if (!phase) return then(503, {}, nullptr);
-          remember(ref, *phase, static_cast<std::uint32_t>(wire::count(item->value, "tasks").value_or(0)));
-          then(200, phase, nullptr);
-        });
-      });
-}
-
-void Node::answer_fresh(const From& from, const std::string& ref, bool brief) {
-  // Questions come again in a few seconds anyway; submissions and cancellations go before them. The leader
-  // takes a job that it does not know in.
-  const auto urgency = brief ? store::Urgency::user : store::Urgency::background;
-  fresh(ref, urgency, entitled(),
-        [this, from, ref, brief](int st, std::optional<wire::Phase> phase, const wire::Value& live) {
-          if (st != 200) {
-            if (st == 404) return respond(from, 404);
-            return try_later(from, st);
-          }
-          if (answer_final(from, ref, brief)) return;
-          if (entitled() && !live.is_null()) job_seen(live["spec"], live["version"].get<std::uint64_t>());
-          respond(from, 200, brief ? wire::job_state(ref, *phase) : wire::job_progress(ref, *phase, 0, 0));
-        });
-}
-
-void Node::status(const From& from, const std::string& ref) {
-  if (answer_final(from, ref, false)) return;
-  if (entitled()) {
-    if (jobs::Job* job = registry_.find(ref)) return answer_live(from, *job, false);
-    return answer_fresh(from, ref, false);
-  }
-  if (from.by_peer) {
-    if (store_.healthy()) return answer_fresh(from, ref, false);
-    return try_later(from);
-  }
-  auto otherwise = [this, from, ref] { answer_fresh(from, ref, false); };
-  hand_on(from, leader_peer(), "GET", std::string(wire::kJobsPath) + "/" + ref, "", 0.7, otherwise);
-}
-
-// ---------------------------------------------------------------- cancellation
-
-void Node::abort(const From& from, const std::string& ref) {
-  if (answer_final(from, ref, true)) return;
-  const std::string path = std::string(wire::kJobsPath) + "/" + ref + wire::kAbortSuffix;
-  if (!entitled()) {
-    if (from.by_peer) return try_later(from);
-    return hand_on(from, leader_peer(), "POST", path, "", 3.0,
-                   [this, from, ref] { leave_intent(from, ref); });
-  }
-  auto close = [this, from, ref](jobs::Job& job) {
-    ledger_.close(job, wire::Phase::cancelled, [this, from, ref] {
-      if (!answer_final(from, ref, true)) try_later(from);
-    });
-    agents_.cancel(job);
-  };
-  if (jobs::Job* job = registry_.find(ref)) return close(*job);
-  fresh(ref, store::Urgency::user, true,
-        [this, from, ref, close](int st, std::optional<wire::Phase>, const wire::Value& live) {
-          if (st == 404) return respond(from, 404);
-          if (st != 200) return try_later(from, st);
-          if (answer_final(from, ref, true)) return;
-          if (entitled() && !live.is_null()) job_seen(live["spec"], live["version"].get<std::uint64_t>());
-          jobs::Job* job = entitled() ? registry_.find(ref) : nullptr;
-          if (!job) return try_later(from);
-          close(*job);
-        });
-}
-
-// While the leader cannot be reached by its peers, it may well read what they leave in the state service. The
-// user is told to come back: only the leader decides whether the job was done first.
-void Node::leave_intent(const From& from, const std::string& ref) {
-  fresh(ref, store::Urgency::user, true,
-        [this, from, ref](int st, std::optional<wire::Phase>, const wire::Value& live) {
-          if (st == 404) return respond(from, 404);
-          if (st != 200) return try_later(from, st);
-          if (answer_final(from, ref, true)) return;
-          wire::Txn txn;
-          txn.require(jobs::kLive + ref, live["version"].get<std::uint64_t>());
-          txn.put(jobs::kLive + ref + jobs::kAbortMark, true);
-          store_.txn(std::move(txn), store::Urgency::user, ports::kNever, [](const store::Reply&) {});
-          try_later(from);
-        });
-}
-
-void Node::intent_seen(const std::string& key) {
-  const std::size_t prefix = std::string_view(jobs::kLive).size(),
-                    mark = std::string_view(jobs::kAbortMark).size();
-  jobs::Job* job = registry_.find(key.substr(prefix, key.size() - prefix - mark));
-  if (!job || !job->open()) return;
-  job->intent = true;
-  ledger_.close(*job, wire::Phase::cancelled, {});
-  agents_.cancel(*job);
-}
-
 // ---------------------------------------------------------------- workers' reports
 
 void Node::report(const From& from, const std::string& bytes) {
@@ -463,6 +208,7 @@
   f.leader = election_.leader();
   f.store_ok = store_.healthy();
   f.bounced = static_cast<std::uint32_t>(bounced_.size());
+  f.level = peer::kLevel;
   return f;
 }
 
@@ -487,6 +233,7 @@
   peers_[i].last_ok = out_.now();
   peers_[i].store_ok = f.store_ok;
   peers_[i].bounced = f.bounced;
+  peers_[i].level = f.level;
   if (!f.leader.empty()) election_.heard(f.leader, f.token);
 }
 
@@ -508,9 +255,10 @@
   return std::nullopt;
 }
 
-std::optional<std::size_t> Node::served_peer() const {
-  auto served = [this](std::size_t i) {
-    return out_.now() - peers_[i].last_ok < kPeerFresh && peers_[i].store_ok;
+std::optional<std::size_t> Node::served_peer(std::uint32_t level) const {
+  auto served = [this, level](std::size_t i) {
+    return out_.now() - peers_[i].last_ok < kPeerFresh && peers_[i].store_ok &&
+           peers_[i].level.value_or(0) >= level;
   };
   if (auto leader = leader_peer(); leader && served(*leader)) return leader;
   for (std::size_t i = 0; i < peers_.size(); ++i) {
@@ -607,7 +355,7 @@
 }
 
 void Node::keep_catalog() {
-  if (catalog_raw_.is_null()) return;
+  if (catalog_raw_.is_null() || catalog_raw_.dump().size() > settings_.value_bytes()) return;
   wire::Txn txn;
   txn.require(lead::kKey, election_.token()).put(kCatalogKey, catalog_raw_);
   store_.txn(std::move(txn), store::Urgency::background, election_.authority_until(),
@@ -624,6 +372,8 @@
   if (election_.leading() && loaded_) {
     agents_.tick();
     if (entitled()) {
+      chains_.spread_urgency();
+      follow_chains();
       fleet_.tick();
       scheduler_.pass();
       check_reach();
@@ -637,10 +387,11 @@
   spdlog::debug(
       "so far: {} reports, {} direct calls, {} orders, {} deadlines, {} tasks started, {} preempted, {} "
       "reclaimed, {} machines and {} jobs "
-      "examined, {} state calls ({} held back), {} writes, {} handed on; now {} jobs, {} machines, {} pages",
+      "examined, {} state calls ({} held back), {} writes ({} ends, {} roster, {} progress), {} handed on; now {} "
+      "jobs ({} wait for others), {} machines, {} pages",
       s.reports, s.direct_calls, s.orders, s.deadlines, s.tasks_started, s.preempted, s.reclaimed,
-      s.machines_examined, s.jobs_examined, s.state_calls, s.state_refused, s.state_writes, s.forwarded,
-      s.live_jobs, s.machines, s.record_pages);
+      s.machines_examined, s.jobs_examined, s.state_calls, s.state_refused, s.state_writes, s.ends_written,
+      s.roster_written, s.progress_written, s.forwarded, s.live_jobs, s.held_jobs, s.machines, s.record_pages);
   out_.after(kStatsEvery, [this] { tell_stats(); });
 }
 
@@ -662,143 +413,4 @@
   election_.resign(5 * settings_.report_s, "workers reach other nodes but not this one");
 }
 
-// ---------------------------------------------------------------- leading
-
-void Node::elected() {
-  ++term_;
-  loaded_ = false;
-  intents_.clear();
-  registry_.clear();
-  scheduler_.clear();
-  ledger_.begin();
-  agents_.begin();
-  agents_.set_catalog(catalog_);
-  load(jobs::kLive, "", term_);
-}
-
-void Node::lost() {
-  ++term_;
-  loaded_ = false;
-  ledger_.end();
-  agents_.end();
-  fleet_.end();
-  scheduler_.clear();
-  registry_.clear();
-}
-
-void Node::load(const char* prefix, const std::string& after, std::uint64_t term) {
-  store_.range(prefix, after, [this, prefix, after, term](const store::Reply& r) {
-    if (term != term_) return;
-    auto range = r.status == 200 ? wire::parse_range(r.body) : wire::Result<wire::Range>::fail("");
-    if (!range) {
-      return out_.after(0.2, [this, prefix, after, term] {
-        if (term == term_) load(prefix, after, term);
-      });
-    }
-    // Changes after the first page's revision are seen by the watch; seeing one twice does no harm.
-    if (prefix == jobs::kLive && after.empty()) jobs_revision_ = range->revision;
-    for (const wire::Item& item : range->items) load_item(prefix, item);
-    if (range->more && !range->items.empty()) return load(prefix, range->items.back().key, term);
-    if (prefix == jobs::kLive) return load(jobs::kProgress, "", term);
-    if (prefix == jobs::kProgress) return load(jobs::kRoster, "", term);
-    loaded();
-  });
-}
-
-void Node::load_item(const char* prefix, const wire::Item& item) {
-  if (prefix == jobs::kLive && item.key.ends_with(jobs::kAbortMark)) {
-    intents_.push_back(item.key);  // acted on when all is loaded
-  } else if (prefix == jobs::kLive) {
-    auto spec = wire::parse_job(item.value);
-    if (!spec) return spdlog::error("{}: not a job: {}", item.key, spec.error());
-    registry_.add(*spec, item.version, out_.now());
-  } else if (prefix == jobs::kProgress) {
-    if (!ledger_.load_progress(item.key, item.value)) spdlog::error("{}: unreadable progress", item.key);
-  } else {
-    const bool good = ledger_.load_roster(
-        item.key, item.value, [this](const wire::Value& record) { return agents_.roster(record).ix; });
-    if (!good) spdlog::error("{}: an unreadable page of the roster", item.key);
-  }
-}
-
-void Node::loaded() {
-  loaded_ = true;
-  last_report_ = 0;
-  reach_since_ = out_.now();
-  spdlog::info("loaded {} jobs and {} machines", registry_.live(), agents_.all().size());
-  fleet_.begin();
-  agents_.tick();
-  for (const std::string& key : std::exchange(intents_, {})) intent_seen(key);
-  std::vector<jobs::Job*> all;
-  registry_.each([&all](jobs::Job& job) { all.push_back(&job); });
-  for (jobs::Job* job : all) {
-    done_if_complete(*job);
-    scheduler_.arrived(*job);
-  }
-  follow_jobs(jobs_revision_, term_);
-  keep_catalog();
-}
-
-void Node::follow_jobs(std::uint64_t after, std::uint64_t term) {
-  store_.watch(jobs::kLive, after, [this, after, term](const store::Reply& r) {
-    if (term != term_) return;
-    auto changes = r.status == 200 ? wire::parse_changes(r.body) : wire::Result<wire::Changes>::fail("");
-    if (changes) {
-      for (const wire::Change& c : changes->events) {
-        if (!c.deleted) live_key_seen(c.key, c.value, c.version);
-      }
-      return follow_jobs(std::max(after, changes->revision), term);
-    }
-    if (r.status == 410) {
-      // Too far behind: everything is read again. What is known already stays as it is.
-      return out_.after(0.2, [this, term] {
-        if (term != term_) return;
-        store_.range(jobs::kLive, "", [this, term](const store::Reply& again) {
-          if (term != term_) return;
-          auto range =
-              again.status == 200 ? wire::parse_range(again.body) : wire::Result<wire::Range>::fail("");
-          if (range) {
-            for (const wire::Item& i : range->items) live_key_seen(i.key, i.value, i.version);
-          }
-          follow_jobs(range ? range->revision : 0, term);
-        });
-      });
-    }
-    out_.after(0.3, [this, after, term] {
-      if (term == term_) follow_jobs(after, term);
-    });
-  });
-}
-
-void Node::live_key_seen(const std::string& key, const wire::Value& value, std::uint64_t version) {
-  key.ends_with(jobs::kAbortMark) ? intent_seen(key) : job_seen(value, version);
-}
-
-void Node::job_seen(const wire::Value& value, std::uint64_t version) {
-  auto spec = wire::parse_job(value);
-  if (!spec || finals_.contains(spec->ref) || registry_.find(spec->ref)) return;
-  jobs::Job& job = registry_.add(*spec, version, out_.now());
-  scheduler_.offered(job);
-  scheduler_.arrived(job);
-}
-
-void Node::done_if_complete(jobs::Job& job) {
-  if (!job.open() || job.service() || job.done < job.spec.tasks) return;
-  ledger_.close(job, wire::Phase::done, {});
-}
-
-void Node::job_closed(jobs::Job& job) {
-  remember(job.spec.ref, job.final_phase, job.spec.tasks);
-  ++(job.final_phase == wire::Phase::done ? stats_.completed : stats_.cancelled);
-  spdlog::info(
-      "{} ({} of {}) is {} after {:.1f} s, its last start after {:.1f} s, estimated at {:.1f} s; {} of its "
-      "{} "
-      "tasks had to start again",
-      job.spec.ref, job.spec.job_class, job.spec.team, wire::phase_name(job.final_phase),
-      out_.now() - job.seen_at, std::max(0.0, job.last_start - job.seen_at), scheduler_.estimate(job),
-      job.lost, job.spec.tasks);
-  scheduler_.over(job);
-  registry_.drop_if_over(job);
-}
-
 }  // namespace wingtrail::daemon
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -10,6 +10,7 @@
 
 #include "agents/agents.hpp"
 #include "fleet/fleet.hpp"
+#include "jobs/chains.hpp"
 #include "jobs/ledger.hpp"
 #include "jobs/registry.hpp"
 #include "lead/election.hpp"
@@ -34,7 +35,9 @@
   std::uint64_t state_calls = 0, state_refused = 0, orders = 0, hired = 0, returned = 0, commits = 0;
   std::uint64_t direct_calls = 0, deadlines = 0, state_writes = 0, tasks_started = 0, machines_examined = 0,
                 jobs_examined = 0, preempted = 0, reclaimed = 0;
-  std::size_t live_jobs = 0, machines = 0, record_pages = 0;
+  std::uint64_t ends_written = 0, roster_written = 0, progress_written = 0, pages_divided = 0, malformed = 0;
+  std::uint64_t chains_ready = 0, orphaned = 0;
+  std::size_t live_jobs = 0, held_jobs = 0, machines = 0, record_pages = 0;
   double settled_after_s = 0;
   bool leading = false;
 };
@@ -48,6 +51,7 @@
   void peer(Seconds now, std::uint64_t id, const peer::Frame& frame);
   void reply(Seconds now, std::uint64_t call, const ports::Reply& reply);
   void tick(Seconds now);  // when next_wake() has come
+  void set_day_offset(double offset) { out_.set_day_offset(offset); }  // time of day less steady time
   Seconds next_wake() const { return out_.next_wake(); }
   std::vector<ports::Action> drain();
 
@@ -69,6 +73,7 @@
     Seconds last_ok = -1e9;
     bool store_ok = false;
     std::uint32_t bounced = 0;
+    std::optional<std::uint32_t> level;  // what it understands, see peer::kLevel; nothing: not heard of yet
   };
 
   void route(const From& from, const std::string& method, const std::string& path, const std::string& body);
@@ -78,6 +83,11 @@
   void submit(const From& from, const std::string& bytes);
   struct Creation;
   void create(const From& from, const wire::JobSpec& spec);
+  struct Needs;
+  void check_needs(const From& from, const wire::JobSpec& spec, const std::string& bytes);
+  void check_some_needs(const std::shared_ptr<Needs>& n);
+  void refuse_unless_accepted(const From& from, const std::string& ref, const std::string& why);
+  bool old_leader() const;
   void create_at_peer(const std::shared_ptr<Creation>& c);
   void give_up_creation(const std::shared_ptr<Creation>& c);
   void status(const From& from, const std::string& ref);
@@ -99,9 +109,9 @@
   void ask_peer(std::size_t peer, std::string method, std::string path, std::string body, Seconds timeout,
                 std::function<void(int, const wire::Value&)> then);
   std::optional<std::size_t> leader_peer() const;
-  std::optional<std::size_t> served_peer() const;
+  std::optional<std::size_t> served_peer(std::uint32_t level = 0) const;
   bool everybody_waits() const;
-  void remember(const std::string& ref, wire::Phase phase, std::uint32_t tasks);
+  void remember(const std::string& ref, const wire::Ended& ended);
 
   void greet();
   void heard(std::size_t peer, const peer::Frame& frame);
@@ -123,6 +133,12 @@
   void follow_jobs(std::uint64_t after, std::uint64_t term);
   void live_key_seen(const std::string& key, const wire::Value& value, std::uint64_t version);
   void job_seen(const wire::Value& value, std::uint64_t version);
+  jobs::Job* learn_job(const wire::Value& value, std::uint64_t version);
+  Seconds steady(double time_of_day) const;  // no later than now
+  // What follows from jobs that were learnt of or that have ended.
+  void follow_chains();
+  void ask_about_needs();
+  void ask_about(const std::string& ref);
   void job_closed(jobs::Job& job);
   void done_if_complete(jobs::Job& job);
 
@@ -131,6 +147,7 @@
   store::Client store_;
   jobs::Registry registry_;
   lead::Election election_;
+  jobs::Chains chains_;
   jobs::Ledger ledger_;
   agents::Agents agents_;
   sched::Scheduler scheduler_;
@@ -139,15 +156,13 @@
   std::vector<wire::MachineType> catalog_;
   wire::Value catalog_raw_;
   std::vector<PeerView> peers_;
-  struct Final {
-    wire::Phase phase;
-    std::uint32_t tasks;
-  };
-  std::unordered_map<std::string, Final> finals_;  // final states never change, so they may be kept
+  std::unordered_map<std::string, wire::Ended> finals_;  // final states never change, so they may be kept
   std::deque<std::string> finals_order_;
   std::uint64_t term_ = 0;
   bool loaded_ = false;
   std::vector<std::string> intents_;  // read while loading
+  std::deque<std::string> to_ask_;    // needed jobs that nothing is known of
+  int asking_ = 0;
   std::uint64_t jobs_revision_ = 0;
   std::deque<Seconds> bounced_;  // when worker reports were turned away
   Seconds last_report_ = 0, reach_since_ = 0, unreached_since_ = 0;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -313,7 +313,7 @@
 
 // Work that no present or coming machine may run asks for a machine of its own.
 void Fleet::rent_for(const jobs::Job& job) {
-  if (!job.open() || job.pending.empty() || out_.now() - job.seen_at < 1 || out_.now() < job.not_before)
+  if (!job.open() || job.pending.empty() || out_.now() - job.since < 1 || out_.now() < job.not_before)
     return;
   auto holds = [&](Ix type_ix) {
     const wire::MachineType* t = type(type_ix);
@@ -341,7 +341,7 @@
   // still waits after the time of a boot, gets machines of its own; once in that time, so that they can come
   // up.
   const bool tied = !job.gang() && (!job.types.empty() || job.zone != jobs::kNone);
-  if (tied && out_.now() - job.seen_at > boot_s() && out_.now() - tied_asked_[job.ix] > boot_s()) {
+  if (tied && out_.now() - job.since > boot_s() && out_.now() - tied_asked_[job.ix] > boot_s()) {
     tied_asked_[job.ix] = out_.now();
     if (ask_for(job, static_cast<double>(job.pending.size()) * scheduler_.pressing(job, boot_s()))) return;
   }
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -7,22 +7,16 @@
 
 namespace wingtrail::jobs {
 namespace {
-constexpr char kFirst = '0';  // '0'..'o' are 64 printable characters, none of which JSON escapes but '\\'
-char pack(unsigned six) { return six == '\\' - kFirst ? 'z' : static_cast<char>(kFirst + six); }
-int unpack(char c) {
-  if (c == 'z') return '\\' - kFirst;
-  return c >= kFirst && c < kFirst + 64 ? c - kFirst : -1;
-}
 constexpr Seconds kRetry = 0.15;
+constexpr Seconds kRefusedPause = 5;            // for what the state service refuses even by itself
 constexpr Seconds kSoon = 0.5;                  // machines that are gone: the next leader would wait for them
 constexpr Seconds kJoin = 0.05;                 // machines come up by the hundred: some join in one write
 constexpr Seconds kInPassing = 15;              // what only saves the next leader some fetches,
 constexpr Seconds kPassingEvery = 1;            // and of that one page at a time, however many there are
 constexpr double kPageShare = 0.85;             // of the value limit
 constexpr std::size_t kMaxBytes = 40UL * 1024;  // a transaction's values, of the protocol's 64 KiB
-constexpr std::size_t kEntryBytes = 32;         // around a job's reference and bits
-constexpr std::size_t kNamesBytes = 1024;       // a roster page's list of images
-constexpr std::size_t kImagesBytes = 96;        // a machine's images, as numbers in that list
+constexpr std::size_t kLeastPage = 256;
+constexpr int kCloseOps = 3;  // final state, job and cancellation mark go together
 constexpr std::size_t kMaxPages = 100'000;
 
 std::string page_key(const char* prefix, std::size_t page) { return prefix + std::to_string(page); }
@@ -36,41 +30,6 @@
 }
 }  // namespace
 
-ProgressCodec::ProgressCodec(double value_kb)
-    : chunk_(static_cast<std::uint32_t>(std::clamp(value_kb * 1024 * 0.5, 256.0, 4096.0)) * 6) {}
-
-std::size_t ProgressCodec::size(const Job& job, std::uint32_t chunk) const {
-  const std::uint32_t from = chunk * chunk_, to = std::min(job.spec.tasks, from + chunk_);
-  return job.spec.ref.size() + (to - from + 5) / 6 + kEntryBytes;
-}
-
-wire::Value ProgressCodec::encode(const Job& job, std::uint32_t chunk) const {
-  const std::uint32_t from = chunk * chunk_, to = std::min(job.spec.tasks, from + chunk_);
-  std::string bits((to - from + 5) / 6, '\0');
-  for (std::uint32_t i = from; i < to; ++i) {
-    if (job.tasks[i].state == TaskState::done)
-      bits[(i - from) / 6] |= static_cast<char>(1U << ((i - from) % 6));
-  }
-  for (char& c : bits) c = pack(static_cast<unsigned char>(c));
-  return {{"from", from}, {"bits", bits}};
-}
-
-bool ProgressCodec::decode(const wire::Value& value, std::uint32_t tasks,
-                           const std::function<void(std::uint32_t)>& done) const {
-  const auto from = wire::count(value, "from");
-  const auto bits = wire::text(value, "bits");
-  if (!from || !bits || *from + (bits->size() - !bits->empty()) * 6 > tasks) return false;
-  for (std::size_t i = 0; i < bits->size(); ++i) {
-    const int six = unpack((*bits)[i]);
-    if (six < 0) return false;
-    for (unsigned b = 0; b < 6; ++b) {
-      const std::uint64_t task = *from + i * 6 + b;
-      if ((six >> b & 1) && task < tasks) done(static_cast<std::uint32_t>(task));
-    }
-  }
-  return true;
-}
-
 Ledger::Ledger(ports::Outbox& out, store::Client& store, Registry& registry,
                const settings::Settings& settings, Link link)
     : out_(out),
@@ -79,7 +38,8 @@
       settings_(settings),
       link_(std::move(link)),
       codec_(settings.value_kb),
-      page_bytes_(static_cast<std::size_t>(settings.value_kb * 1024 * kPageShare)) {}
+      page_bytes_(static_cast<std::size_t>(settings.value_kb * 1024 * kPageShare)),
+      most_ops_(settings.txn_ops) {}
 
 void Ledger::begin() {
   end();
@@ -90,53 +50,28 @@
   active_ = in_flight_ = armed_ = false;
   ++term_;
   closes_.clear();
+  orphans_.clear();
   progress_.clear();
   roster_.clear();
-  page_of_chunk_.clear();
-  page_of_machine_.clear();
+  joining_.clear();
   awaiting_.clear();
   close_waiters_.clear();
 }
 
 // ---------------------------------------------------------------- pages
 
-std::size_t Ledger::page_for(Chunk chunk) {
-  if (auto it = page_of_chunk_.find(chunk); it != page_of_chunk_.end()) return it->second;
-  const std::size_t size = codec_.size(*registry_.at(chunk.first), chunk.second);
-  std::size_t n = 0;
-  while (n < progress_.size() && progress_[n].bytes + size > page_bytes_) ++n;
-  if (n == progress_.size()) progress_.emplace_back();
-  progress_[n].chunks.push_back(chunk);
-  progress_[n].bytes += size;
-  page_of_chunk_.emplace(chunk, n);
-  return n;
-}
+// What a machine's images may take, as numbers in its page's list of names.
+std::size_t Ledger::images_bytes() const { return std::clamp<std::size_t>(page_bytes_ / 70, 16, 96); }
 
-std::size_t Ledger::page_for(Ix machine) {
-  if (auto it = page_of_machine_.find(machine); it != page_of_machine_.end()) return it->second;
-  wire::Value record = events_.record(machine);
-  record.erase("images");
-  // A page is made for machines of this one's size; names of hosts and zones differ little in length.
-  const std::size_t size = record.dump().size() + kImagesBytes;
-  std::size_t n = 0;
-  while (n < roster_.size() && roster_[n].bytes + size + kNamesBytes > page_bytes_) ++n;
-  if (n == roster_.size()) roster_.emplace_back();
-  roster_[n].machines.push_back(machine);
-  roster_[n].bytes += size;
-  page_of_machine_.emplace(machine, n);
-  return n;
+// A page is made for machines of this one's size; names of hosts and zones differ little in length.
+std::size_t Ledger::record_size(const wire::Value& record) const {
+  return record.dump().size() + images_bytes() + 1;
 }
 
-void Ledger::mark(Page& page, Due due) {
-  if (due <= page.due) return;
-  if (page.due == Due::no) page.since = out_.now();
-  page.due = due;
-}
-
-wire::Value Ledger::encode(const ProgressPage& page) const {
+wire::Value Ledger::progress_value(std::size_t page) const {
   wire::Value list = wire::Value::array();
-  for (const auto& [ix, chunk] : page.chunks) {
-    Job* job = registry_.at(ix);
+  for (const auto& [ix, chunk] : progress_[page].entries) {
+    const Job* job = registry_.at(ix);
     if (!job || job->closed) continue;
     wire::Value entry = codec_.encode(*job, chunk);
     entry["ref"] = job->spec.ref;
@@ -145,23 +80,23 @@
   return list;
 }
 
-wire::Value Ledger::encode(const RosterPage& page) const {
+wire::Value Ledger::roster_value(std::size_t page) const {
   wire::Value names = wire::Value::array(), hosts = wire::Value::array();
   std::map<std::string, std::size_t> numbers;
-  std::size_t names_bytes = 0;
-  for (const Ix ix : page.machines) {
+  std::size_t used = 0;
+  for (const Ix ix : roster_[page].entries) {
     wire::Value record = events_.record(ix);
     wire::Value images = wire::Value::array();
     std::size_t bytes = 0;
     for (const wire::Value& name : record["images"]) {
       const auto& text = name.get_ref<const std::string&>();
       auto [it, fresh] = numbers.try_emplace(text, names.size());
-      if (fresh && names_bytes + text.size() + 3 > kNamesBytes) {
+      if (fresh && used + text.size() + 3 > names_bytes()) {
         numbers.erase(it);
         continue;
       }
-      if (fresh) names.push_back(name), names_bytes += text.size() + 3;
-      if ((bytes += 5) > kImagesBytes) break;
+      if (fresh) names.push_back(name), used += text.size() + 3;
+      if ((bytes += std::to_string(it->second).size() + 1) > images_bytes()) break;
       images.push_back(it->second);
     }
     record["images"] = std::move(images);
@@ -170,24 +105,39 @@
   return {{"images", std::move(names)}, {"hosts", std::move(hosts)}};
 }
 
+template <typename Entry, typename Encode>
+std::optional<wire::Value> Ledger::writable(Pages<Entry>& pages, std::size_t n, std::size_t limit,
+                                            Encode encode) {
+  if (pages[n].bytes > limit && pages.divide(n, limit, out_.now())) {
+    ++divided_;
+    spdlog::info("a page of {} entries was too large and is divided", pages[n].entries.size());
+  }
+  if (!pages.may_be_written(n)) return std::nullopt;
+  wire::Value value = encode(n);
+  const std::size_t size = value.dump().size();
+  if (size > settings_.value_bytes()) {  // the estimate was wrong
+    if (pages.divide(n, pages[n].bytes * settings_.value_bytes() / size * 3 / 4, out_.now())) {
+      ++divided_;
+      return std::nullopt;
+    }
+  }
+  return value;
+}
+
 bool Ledger::load_progress(const std::string& key, const wire::Value& value) {
   const auto n = page_number(key);
   if (!n || !value.is_array()) return false;
-  if (progress_.size() <= *n) progress_.resize(*n + 1);
   bool good = true;
   for (const wire::Value& entry : value) {
     Job* job = registry_.find(wire::text(entry, "ref").value_or(""));
     if (!job) continue;  // over; the page is written without it the next time
-    const auto from = wire::count(entry, "from");
-    const bool read = from && codec_.decode(entry, job->spec.tasks, [&](std::uint32_t task) {
-      registry_.complete(*job, task, kNone);
-    });
+    const bool read = codec_.decode(entry, job->spec.tasks,
+                                    [&](std::uint32_t task) { registry_.complete(*job, task, kNone); });
     good &= read;
     if (!read) continue;
-    const Chunk chunk{job->ix, codec_.chunk_of(static_cast<std::uint32_t>(*from))};
-    if (!page_of_chunk_.emplace(chunk, *n).second) continue;
-    progress_[*n].chunks.push_back(chunk);
-    progress_[*n].bytes += codec_.size(*job, chunk.second);
+    const auto [first, last] = codec_.covers(entry, job->spec.tasks);
+    for (std::uint32_t c = first; c <= last; ++c)
+      progress_.stored({job->ix, c}, codec_.size(*job, c), *n, out_.now());
   }
   return good;
 }
@@ -198,7 +148,6 @@
   const wire::Value* names = wire::find(value, "images");
   const wire::Value* hosts = wire::find(value, "hosts");
   if (!n || !hosts || !hosts->is_array()) return false;
-  if (roster_.size() <= *n) roster_.resize(*n + 1);
   bool good = true;
   for (wire::Value record : *hosts) {
     if (!wire::text(record, "host")) {
@@ -212,13 +161,10 @@
           images.push_back((*names)[i.get<std::size_t>()]);
       }
     }
-    record.erase("images");
-    const std::size_t size = record.dump().size() + kImagesBytes;
+    record["images"] = wire::Value::array();
+    const std::size_t size = record_size(record);
     record["images"] = std::move(images);
-    const Ix ix = learn(record);
-    if (!page_of_machine_.emplace(ix, *n).second) continue;
-    roster_[*n].machines.push_back(ix);
-    roster_[*n].bytes += size;
+    roster_.stored(learn(record), size, *n, out_.now());
   }
   return good;
 }
@@ -234,37 +180,42 @@
   arm(0);
 }
 
+void Ledger::close_orphan(Job& job) {
+  if (job.closing) return;
+  job.closing = true;
+  job.final_phase = wire::Phase::cancelled;
+  orphans_.push_back(job.ix);
+  arm(0);
+}
+
 void Ledger::progress(Job& job, std::uint32_t task, Ix machine, std::uint64_t attempt) {
   const Chunk chunk{job.ix, codec_.chunk_of(task)};
   awaiting_[chunk].push_back({machine, task, attempt});
-  mark(progress_[page_for(chunk)], Due::soon);
+  progress_.mark(progress_.place(chunk, codec_.size(job, chunk.second), page_bytes_), Due::soon, out_.now());
   arm(settings_.tunables.progress_flush_s);
 }
 
 void Ledger::enlist(Ix machine) {
-  RosterPage& page = roster_[page_for(machine)];
-  page.joining.push_back(machine);
-  mark(page, Due::now);
+  wire::Value record = events_.record(machine);
+  record["images"] = wire::Value::array();
+  joining_.insert(machine);
+  roster_.mark(roster_.place(machine, record_size(record), roster_bytes()), Due::now, out_.now());
   arm(kJoin);
 }
 
 void Ledger::refresh(Ix machine) {
-  const auto it = page_of_machine_.find(machine);
-  if (it == page_of_machine_.end()) return;
-  mark(roster_[it->second], Due::in_passing);
+  const auto n = roster_.page_of(machine);
+  if (!n) return;
+  roster_.mark(*n, Due::in_passing, out_.now());
   arm(kInPassing);
 }
 
 void Ledger::delist(Ix machine) {
-  const auto it = page_of_machine_.find(machine);
-  if (it == page_of_machine_.end()) return;
-  RosterPage& page = roster_[it->second];
-  page_of_machine_.erase(it);
-  const std::size_t before = page.machines.size();
-  std::erase(page.machines, machine);
-  std::erase(page.joining, machine);
-  page.bytes -= page.bytes / std::max<std::size_t>(1, before);
-  mark(page, Due::soon);
+  const auto n = roster_.page_of(machine);
+  if (!n) return;
+  roster_.remove(machine);
+  joining_.erase(machine);
+  roster_.mark(*n, Due::soon, out_.now());
   arm(kSoon);
 }
 
@@ -282,59 +233,74 @@
   });
 }
 
-void Ledger::add_closes(wire::Txn& txn, Commit& c, int& room) {
-  while (!closes_.empty()) {
-    const Job& job = *registry_.at(closes_.front());
-    const int ops = job.intent ? 3 : 2;
+void Ledger::add_closes(wire::Txn& txn, Commit& c, int& room, std::deque<Ix>& from) {
+  while (!from.empty()) {
+    const Job& job = *registry_.at(from.front());
+    const int ops = job.intent ? kCloseOps : kCloseOps - 1;
     if (ops > room) return;
     room -= ops;
-    txn.put(kFinal + job.spec.ref, {{"phase", wire::phase_name(job.final_phase)}, {"tasks", job.spec.tasks}});
+    txn.put(kFinal + job.spec.ref,
+            wire::ended_record({job.final_phase, job.spec.tasks, out_.time_of_day()}));
     txn.erase(kLive + job.spec.ref);
     if (job.intent) txn.erase(kLive + job.spec.ref + kAbortMark);
     c.closes.push_back(job.ix);
-    closes_.pop_front();
+    from.pop_front();
   }
 }
 
 void Ledger::add_roster(wire::Txn& txn, Commit& c, int& room, std::size_t& bytes, Due least) {
-  for (std::size_t n = 0; n < roster_.size() && room > 0 && bytes < kMaxBytes; ++n) {
-    RosterPage& page = roster_[n];
-    if (page.due < least || page.due == Due::no) continue;
-    if (page.due == Due::soon && out_.now() < page.since + kSoon) continue;
-    if (page.due == Due::in_passing &&
+  for (const std::size_t n : std::vector<std::size_t>(roster_.due().begin(), roster_.due().end())) {
+    if (room <= 0 || bytes >= kMaxBytes) return;
+    const auto& page = roster_[n];
+    const Due due = page.due;
+    if (due < least || out_.now() < page.since) continue;
+    if (due == Due::soon && out_.now() < page.since + kSoon) continue;
+    if (due == Due::in_passing &&
         (out_.now() < page.since + kInPassing || out_.now() < passed_at_ + kPassingEvery)) {
       continue;
     }
-    c.was_due.emplace_back(n, page.due);
-    c.roster.emplace_back(n, std::exchange(page.joining, {}));
-    // One that is of use only to a later leader goes alone: what people wait for comes first.
-    const bool last = page.due == Due::in_passing;
-    if (last) passed_at_ = out_.now();
-    page.due = Due::no;
-    txn.put(page_key(kRoster, n), encode(page));
-    bytes += page.bytes + kNamesBytes;
+    auto value = writable(roster_, n, roster_bytes(), [this](std::size_t p) { return roster_value(p); });
+    if (!value) continue;
+    std::vector<Ix> joins;
+    for (const Ix ix : page.entries) {
+      if (joining_.contains(ix)) joins.push_back(ix);
+    }
+    c.was_due.push_back(due);
+    c.roster.emplace_back(n, std::move(joins));
+    roster_.take(n);
+    txn.put(page_key(kRoster, n), std::move(*value));
+    bytes += page.bytes + names_bytes();
     --room;
-    if (last) return;
+    ++writes_.roster;
+    // One that is of use only to a later leader goes alone: what people wait for comes first.
+    if (due != Due::in_passing) continue;
+    passed_at_ = out_.now();
+    return;
   }
 }
 
 void Ledger::add_progress(wire::Txn& txn, Commit& c, int& room, std::size_t& bytes) {
-  for (std::size_t n = 0; n < progress_.size() && room > 0 && bytes < kMaxBytes; ++n) {
-    ProgressPage& page = progress_[n];
-    if (page.due == Due::no || out_.now() < page.since + settings_.tunables.progress_flush_s - 1e-6) continue;
-    page.due = Due::no;
+  for (const std::size_t n : std::vector<std::size_t>(progress_.due().begin(), progress_.due().end())) {
+    if (room <= 0 || bytes >= kMaxBytes) return;
+    const auto& page = progress_[n];
+    if (out_.now() < page.since + settings_.tunables.progress_flush_s - 1e-6) continue;
+    auto value = writable(progress_, n, page_bytes_, [this](std::size_t p) { return progress_value(p); });
+    if (!value) continue;
+    progress_.take(n);
     std::vector<std::pair<Chunk, Ended>> covers;
-    for (const Chunk& chunk : page.chunks) {
+    for (const Chunk& chunk : page.entries) {
       auto it = awaiting_.find(chunk);
       if (it == awaiting_.end()) continue;
       for (const Ended& e : it->second) covers.emplace_back(chunk, e);
       awaiting_.erase(it);
     }
-    if (covers.empty()) continue;  // its jobs are over
-    txn.put(page_key(kProgress, n), encode(page));
+    // Its jobs are over. But what another page still holds of it must be here before that is written.
+    if (covers.empty() && page.waited_for.empty() && page.behind.empty()) continue;
+    txn.put(page_key(kProgress, n), std::move(*value));
     c.progress.emplace_back(n, std::move(covers));
     bytes += page.bytes;
     --room;
+    ++writes_.progress;
   }
 }
 
@@ -344,37 +310,42 @@
   wire::Txn txn;
   txn.require(link_.leader_key, link_.token());
   Commit c;
-  int room = settings_.txn_ops;
+  int room = most_ops_;
   std::size_t bytes = 0;
   // In the order in which people wait: final states, machines about to work, progress, the rest.
-  add_closes(txn, c, room);
+  add_closes(txn, c, room, closes_);
+  add_closes(txn, c, room, orphans_);
+  writes_.ends += static_cast<std::uint64_t>(txn.ops());
   add_roster(txn, c, room, bytes, Due::now);
   const bool user = txn.ops() > 0;
   add_progress(txn, c, room, bytes);
   add_roster(txn, c, room, bytes, Due::in_passing);
   if (txn.ops() == 0) return rearm();
   in_flight_ = true;
-  writes_ += static_cast<std::uint64_t>(txn.ops());
+  const int ops = txn.ops();
   store_.txn(std::move(txn), user ? store::Urgency::user : store::Urgency::background,
-             link_.authority_until(), [this, term = term_, c = std::move(c)](const store::Reply& r) mutable {
+             link_.authority_until(), [this, term = term_, ops, c = std::move(c)](const store::Reply& r) mutable {
                if (term != term_) return;
                in_flight_ = false;
                if (r.status == 200) return committed(c);
                if (r.status == 409) return link_.superseded();
-               if (r.status == 400) spdlog::error("the state service calls a transaction malformed");
                failed(c);
+               if (r.status == 400) malformed(c, ops);
              });
 }
 
 // When the next page is due.
 void Ledger::rearm() {
   Seconds at = ports::kNever;
-  if (!closes_.empty()) at = out_.now();
-  for (const ProgressPage& p : progress_) {
-    if (p.due != Due::no) at = std::min(at, p.since + settings_.tunables.progress_flush_s);
+  if (!closes_.empty() || !orphans_.empty()) at = out_.now();
+  for (const std::size_t n : progress_.due()) {
+    if (progress_.may_be_written(n))
+      at = std::min(at, progress_[n].since + settings_.tunables.progress_flush_s);
   }
-  for (const RosterPage& p : roster_) {
-    if (p.due == Due::now) at = out_.now();
+  for (const std::size_t n : roster_.due()) {
+    const auto& p = roster_[n];
+    if (!roster_.may_be_written(n)) continue;
+    if (p.due == Due::now) at = std::min(at, p.since);
     if (p.due == Due::soon) at = std::min(at, p.since + kSoon);
     if (p.due == Due::in_passing)
       at = std::min(at, std::max(p.since + kInPassing, passed_at_ + kPassingEvery));
@@ -385,21 +356,41 @@
 
 // Everything here may be applied twice without harm, so what is uncertain is simply written again.
 void Ledger::failed(Commit& c) {
-  for (auto it = c.closes.rbegin(); it != c.closes.rend(); ++it) closes_.push_front(*it);
+  for (auto it = c.closes.rbegin(); it != c.closes.rend(); ++it) {
+    (registry_.at(*it)->orphan ? orphans_ : closes_).push_front(*it);
+  }
   for (auto& [n, covers] : c.progress) {
     for (auto& [chunk, ended] : covers) awaiting_[chunk].push_back(ended);
-    mark(progress_[n], Due::soon);
-  }
-  for (std::size_t i = 0; i < c.roster.size(); ++i) {
-    auto& [n, joined] = c.roster[i];
-    for (const Ix ix : joined) {
-      if (page_of_machine_.contains(ix)) roster_[n].joining.push_back(ix);
-    }
-    mark(roster_[n], c.was_due[i].second);
+    progress_.mark(n, Due::soon, out_.now());
   }
+  for (std::size_t i = 0; i < c.roster.size(); ++i) roster_.mark(c.roster[i].first, c.was_due[i], out_.now());
   arm(kRetry);
 }
 
+// The state service calls the transaction malformed, and would do so again: its limits are lower than the
+// settings say. Fewer records go together from now on; one that is refused by itself must not stop the others.
+void Ledger::malformed(const Commit& c, int ops) {
+  ++refused_;
+  spdlog::error("the state service calls a transaction of {} changes malformed", ops);
+  if (c.records() > 1) {
+    most_ops_ = std::max(kCloseOps, ops / 2);
+    if (most_ops_ < ops) return;
+  }
+  const auto smaller = [this](auto& pages, std::size_t n, auto encode) {
+    const std::size_t size = encode(n).dump().size();
+    page_bytes_ = std::max(kLeastPage, std::min(page_bytes_, size / 2));
+    if (pages[n].entries.size() <= 1) pages[n].since = out_.now() + kRefusedPause;
+  };
+  for (const auto& [n, covers] : c.progress) smaller(progress_, n, [this](auto p) { return progress_value(p); });
+  for (const auto& [n, joined] : c.roster) smaller(roster_, n, [this](auto p) { return roster_value(p); });
+  for (const Ix ix : c.closes) {
+    spdlog::error("{}: its end cannot be recorded", registry_.at(ix)->spec.ref);
+    auto& queue = registry_.at(ix)->orphan ? orphans_ : closes_;
+    queue.pop_front();
+    queue.push_back(ix);
+  }
+}
+
 void Ledger::committed(const Commit& c) {
   ++commits_;
   const std::uint64_t term = term_;
@@ -412,26 +403,26 @@
       if (auto waiting = awaiting_.extract(chunk); !waiting.empty()) {
         ended.insert(ended.end(), waiting.mapped().begin(), waiting.mapped().end());
       }
-      const auto page = page_of_chunk_.extract(chunk);
-      if (page.empty()) continue;
-      std::erase(progress_[page.mapped()].chunks, chunk);
-      progress_[page.mapped()].bytes -= codec_.size(*job, n);
+      progress_.remove(chunk);
     }
     events_.persisted(ended);
     auto waiters = close_waiters_.extract(ix);
+    events_.closed(*job);
     if (!waiters.empty()) {
       for (auto& then : waiters.mapped()) then();
     }
-    events_.closed(*job);
     if (term != term_) return;  // one of the callbacks ended the leadership
   }
   for (const auto& [n, covers] : c.progress) {
+    progress_.written(n);
     std::vector<Ended> ended;
     for (const auto& [chunk, e] : covers) ended.push_back(e);
     events_.persisted(ended);
   }
   for (const auto& [n, joined] : c.roster) {
+    roster_.written(n);
     for (const Ix ix : joined) {
+      if (joining_.erase(ix) == 0) continue;  // gone meanwhile
       events_.enlisted(ix);
       if (term != term_) return;
     }
--- a/src/jobs/ledger.hpp
+++ b/src/jobs/ledger.hpp
@@ -14,6 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/pages.hpp"
+#include "jobs/progress.hpp"
 #include "jobs/registry.hpp"
 #include "store/client.hpp"
 
@@ -25,23 +27,6 @@
 inline constexpr const char* kRoster = "r/";
 inline constexpr const char* kAbortMark = "/abort";
 
-// Completed tasks are kept as text, six to a character, in chunks that stay well below the value limit.
-class ProgressCodec {
- public:
-  explicit ProgressCodec(double value_kb);
-  std::uint32_t chunk_tasks() const { return chunk_; }
-  std::uint32_t chunks(const Job& job) const { return (job.spec.tasks + chunk_ - 1) / chunk_; }
-  std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_; }
-  std::size_t size(const Job& job, std::uint32_t chunk) const;  // at most, encoded
-  wire::Value encode(const Job& job, std::uint32_t chunk) const;
-  // Calls `done` for every completed task; false if the record makes no sense.
-  bool decode(const wire::Value& value, std::uint32_t tasks,
-              const std::function<void(std::uint32_t)>& done) const;
-
- private:
-  std::uint32_t chunk_;
-};
-
 class Ledger {
  public:
   struct Link {
@@ -75,6 +60,9 @@
 
   // Persist the job's final state; `then` runs when that is certain. More than one may wait for it.
   void close(Job& job, wire::Phase phase, std::function<void()> then);
+  // The same for one that can never start, since a job that it needs is cancelled; those that users wait for go
+  // first.
+  void close_orphan(Job& job);
   void progress(Job& job, std::uint32_t task, Ix machine, std::uint64_t attempt);  // a task was completed
   void enlist(Ix machine);
   void refresh(Ix machine);  // its record has changed; written in passing
@@ -82,43 +70,42 @@
 
   const ProgressCodec& codec() const { return codec_; }
   std::uint64_t commits() const { return commits_; }
-  std::uint64_t writes() const { return writes_; }
+  struct Writes {  // puts and deletes, by what they were for
+    std::uint64_t ends = 0, roster = 0, progress = 0;
+  };
+  const Writes& writes() const { return writes_; }
+  std::uint64_t divided() const { return divided_; }  // pages found too large
+  std::uint64_t refused() const { return refused_; }  // transactions called malformed
   std::size_t pages() const { return progress_.size() + roster_.size(); }
+  std::size_t open_closes() const { return closes_.size() + orphans_.size(); }
 
  private:
   using Chunk = std::pair<Ix, std::uint32_t>;  // job, chunk
-  enum class Due : std::uint8_t { no, in_passing, soon, now };
-  struct Page {
-    std::size_t bytes = 0;
-    Due due = Due::no;
-    Seconds since = 0;  // when it became due
-  };
-  struct ProgressPage : Page {
-    std::vector<Chunk> chunks;
-  };
-  struct RosterPage : Page {
-    std::vector<Ix> machines;
-    std::vector<Ix> joining;  // to be told of once the page is written
-  };
   struct Commit {
     std::vector<Ix> closes;
     std::vector<std::pair<std::size_t, std::vector<std::pair<Chunk, Ended>>>>
         progress;                                                 // page, what it covers
     std::vector<std::pair<std::size_t, std::vector<Ix>>> roster;  // page, who joins
-    std::vector<std::pair<std::size_t, Due>> was_due;             // of the roster pages
+    std::vector<Due> was_due;                                     // the roster's pages
+    std::size_t records() const { return closes.size() + progress.size() + roster.size(); }
   };
-  std::size_t page_for(Chunk chunk);
-  std::size_t page_for(Ix machine);
-  void mark(Page& page, Due due);
-  wire::Value encode(const ProgressPage& page) const;
-  wire::Value encode(const RosterPage& page) const;
+  wire::Value progress_value(std::size_t page) const;
+  wire::Value roster_value(std::size_t page) const;
+  std::size_t names_bytes() const { return page_bytes_ / 8; }
+  std::size_t images_bytes() const;
+  std::size_t roster_bytes() const { return page_bytes_ - names_bytes(); }
+  std::size_t record_size(const wire::Value& record) const;
+  // The page's value; nothing if it has to wait: for others, or because it was too large and has been divided.
+  template <typename Entry, typename Encode>
+  std::optional<wire::Value> writable(Pages<Entry>& pages, std::size_t n, std::size_t limit, Encode encode);
   void arm(Seconds delay);
   void flush();
-  void add_closes(wire::Txn& txn, Commit& c, int& room);
+  void add_closes(wire::Txn& txn, Commit& c, int& room, std::deque<Ix>& from);
   void add_roster(wire::Txn& txn, Commit& c, int& room, std::size_t& bytes, Due least);
   void add_progress(wire::Txn& txn, Commit& c, int& room, std::size_t& bytes);
   void rearm();
   void failed(Commit& c);
+  void malformed(const Commit& c, int ops);
   void committed(const Commit& c);
 
   ports::Outbox& out_;
@@ -128,17 +115,18 @@
   Link link_;
   Events events_;
   ProgressCodec codec_;
-  std::size_t page_bytes_;
-  std::deque<Ix> closes_;
-  std::deque<ProgressPage> progress_;
-  std::deque<RosterPage> roster_;
-  std::map<Chunk, std::size_t> page_of_chunk_;
-  std::unordered_map<Ix, std::size_t> page_of_machine_;
+  std::size_t page_bytes_;  // that a page may have; less once the state service has refused one
+  int most_ops_;            // in a transaction; the same
+  std::deque<Ix> closes_, orphans_;
+  Pages<Chunk> progress_;
+  Pages<Ix> roster_;
+  std::set<Ix> joining_;  // machines to be told of once their page is written
   std::map<Chunk, std::vector<Ended>> awaiting_;  // completed, not persisted
   std::map<Ix, std::vector<std::function<void()>>> close_waiters_;
   bool active_ = false, in_flight_ = false, armed_ = false;
   Seconds armed_at_ = 0, passed_at_ = 0;
-  std::uint64_t term_ = 0, commits_ = 0, writes_ = 0;
+  std::uint64_t term_ = 0, commits_ = 0, divided_ = 0, refused_ = 0;
+  Writes writes_;
 };
 
 }  // namespace wingtrail::jobs
--- /dev/null
+++ b/src/jobs/progress.cpp
@@ -0,0 +1,59 @@
+#include "jobs/progress.hpp"
+
+#include <algorithm>
+
+namespace wingtrail::jobs {
+namespace {
+constexpr char kFirst = '0';  // '0'..'o' are 64 printable characters, none of which JSON escapes but '\\'
+char pack(unsigned six) { return six == '\\' - kFirst ? 'z' : static_cast<char>(kFirst + six); }
+int unpack(char c) {
+  if (c == 'z') return '\\' - kFirst;
+  return c >= kFirst && c < kFirst + 64 ? c - kFirst : -1;
+}
+constexpr std::size_t kEntryBytes = 40;  // around a job's reference and bits
+}  // namespace
+
+ProgressCodec::ProgressCodec(double value_kb)
+    : chunk_(static_cast<std::uint32_t>(std::clamp(value_kb * 1024 * 0.5, 256.0, 4096.0)) * 6) {}
+
+std::size_t ProgressCodec::size(const Job& job, std::uint32_t chunk) const {
+  const std::uint32_t from = chunk * chunk_, to = std::min(job.spec.tasks, from + chunk_);
+  return job.spec.ref.size() + (to - from + 5) / 6 + kEntryBytes;
+}
+
+wire::Value ProgressCodec::encode(const Job& job, std::uint32_t chunk) const {
+  const std::uint32_t from = chunk * chunk_, to = std::min(job.spec.tasks, from + chunk_);
+  std::string bits((to - from + 5) / 6, '\0');
+  for (std::uint32_t i = from; i < to; ++i) {
+    if (job.tasks[i].state == TaskState::done)
+      bits[(i - from) / 6] |= static_cast<char>(1U << ((i - from) % 6));
+  }
+  for (char& c : bits) c = pack(static_cast<unsigned char>(c));
+  return {{"from", from}, {"bits", bits}};
+}
+
+std::pair<std::uint32_t, std::uint32_t> ProgressCodec::covers(const wire::Value& value,
+                                                              std::uint32_t tasks) const {
+  const std::uint64_t from = std::min<std::uint64_t>(wire::count(value, "from").value_or(0), tasks - 1);
+  const std::size_t length = wire::text(value, "bits").value_or("").size();
+  const std::uint64_t last = std::min<std::uint64_t>(from + std::max<std::size_t>(length, 1) * 6, tasks) - 1;
+  return {chunk_of(static_cast<std::uint32_t>(from)), chunk_of(static_cast<std::uint32_t>(last))};
+}
+
+bool ProgressCodec::decode(const wire::Value& value, std::uint32_t tasks,
+                           const std::function<void(std::uint32_t)>& done) const {
+  const auto from = wire::count(value, "from");
+  const auto bits = wire::text(value, "bits");
+  if (!from || !bits || *from + (bits->size() - !bits->empty()) * 6 > tasks) return false;
+  for (std::size_t i = 0; i < bits->size(); ++i) {
+    const int six = unpack((*bits)[i]);
+    if (six < 0) return false;
+    for (unsigned b = 0; b < 6; ++b) {
+      const std::uint64_t task = *from + i * 6 + b;
+      if ((six >> b & 1) && task < tasks) done(static_cast<std::uint32_t>(task));
+    }
+  }
+  return true;
+}
+
+}  // namespace wingtrail::jobs
--- a/src/jobs/registry.cpp
+++ b/src/jobs/registry.cpp
@@ -7,7 +7,7 @@
   for (const auto& z : settings.zones) zones.add(z);
 }
 
-Job& Registry::add(const wire::JobSpec& spec, std::uint64_t created, Seconds now) {
+Job& Registry::add(const wire::JobSpec& spec, std::uint64_t created, Seconds submitted) {
   if (Job* known = find(spec.ref)) return *known;
   auto job = std::make_unique<Job>();
   job->ix = static_cast<Ix>(jobs_.size());
@@ -20,7 +20,8 @@
   if (spec.zone) job->zone = zones.add(*spec.zone);
   for (const auto& t : spec.types) job->types.push_back(types.add(t));
   job->created = created;
-  job->seen_at = now;
+  job->submitted = job->since = submitted;
+  job->priority = spec.priority;
   job->tasks.resize(spec.tasks);
   job->pending.reserve(spec.tasks);
   for (std::uint32_t i = spec.tasks; i-- > 0;) wait(*job, i);
--- a/src/jobs/registry.hpp
+++ b/src/jobs/registry.hpp
@@ -1,6 +1,7 @@
 // The jobs that are not over yet, as the leader sees them. Names become dense indices here.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -53,7 +54,13 @@
   Ix team = kNone, image = kNone, job_class = kNone, zone = kNone;
   std::vector<Ix> types;      // empty: any
   std::uint64_t created = 0;  // revision of its creation
-  Seconds seen_at = 0;
+  Seconds submitted = 0;  // what its own deadline counts from
+  Seconds since = 0;      // what all other times count from: it was submitted, and all it needs is done
+  // Set by Chains. A job that waits for others has no part in anything but their ends.
+  std::uint32_t unmet = 0;         // jobs that it needs and that are not known to be done
+  bool orphan = false;             // one of them is cancelled
+  wire::Priority priority{};       // its own, or that of a job that needs it
+  Seconds latest = ports::kNever;  // when it must be over for those that need it
   std::vector<Task> tasks;
   std::vector<std::uint32_t> pending;  // task numbers, in no order that matters; the next one last
   std::uint32_t done = 0, running = 0, placed = 0;
@@ -74,6 +81,7 @@
   bool service() const { return spec.shape == wire::Shape::service; }
   bool gang() const { return spec.shape == wire::Shape::gang; }
   bool open() const { return !closing && !closed; }
+  bool held() const { return unmet > 0 || orphan; }
   wire::Phase phase() const { return running > 0 ? wire::Phase::running : wire::Phase::queued; }
 };
 
@@ -85,7 +93,7 @@
 
   std::function<void(Job&)> on_pending;  // one of its tasks waits again
 
-  Job& add(const wire::JobSpec& spec, std::uint64_t created, Seconds now);
+  Job& add(const wire::JobSpec& spec, std::uint64_t created, Seconds submitted);
   double image_gb(Ix image) const { return image < image_gb_.size() ? image_gb_[image] : 0; }
   Job* find(const std::string& ref);
   Job* at(Ix ix) { return ix < jobs_.size() ? jobs_[ix].get() : nullptr; }
@@ -98,6 +106,10 @@
     for (const auto& [ref, ix] : by_ref_) f(*jobs_[ix]);
   }
   std::size_t live() const { return by_ref_.size(); }
+  std::size_t held() const {
+    return static_cast<std::size_t>(
+        std::count_if(by_ref_.begin(), by_ref_.end(), [this](const auto& j) { return jobs_[j.second]->held(); }));
+  }
 
   void place(Job& job, std::uint32_t task, Ix machine, Ix zone);
   void set_running(Job& job, std::uint32_t task, bool running);
--- a/src/peer/frame.hpp
+++ b/src/peer/frame.hpp
@@ -9,6 +9,9 @@
 
 namespace wingtrail::peer {
 
+// What the sender understands beyond the first version's frames, which lack the field: 1, job chains.
+inline constexpr std::uint32_t kLevel = 1;
+
 inline constexpr const char* kPath = "/peer";
 
 struct Frame {
@@ -21,7 +24,8 @@
   std::string body;           // its CBOR body, or that of its answer
   std::int32_t status = 0;    // the answer's status; 0: no answer
   double retry_after_s = 0;
-  MSGPACK_DEFINE_MAP(node, token, leader, store_ok, bounced, method, path, body, status, retry_after_s)
+  std::uint32_t level = 0;
+  MSGPACK_DEFINE_MAP(node, token, leader, store_ok, bounced, method, path, body, status, retry_after_s, level)
 };
 
 std::string encode(const Frame& frame);
--- a/src/ports/outbox.hpp
+++ b/src/ports/outbox.hpp
@@ -60,6 +60,8 @@
   using OnReply = std::function<void(const Reply&)>;
 
   Seconds now() const { return now_; }
+  // Seconds since 1970, right within the bound that the platform gives; for what must mean the same to all nodes.
+  double time_of_day() const { return now_ + day_offset_; }
 
   void call(Call call, OnReply then) {
     call.id = ++last_id_;
@@ -71,6 +73,7 @@
 
   // ---- for whoever drives the decision code
   void set_now(Seconds now) { now_ = now; }
+  void set_day_offset(double offset) { day_offset_ = offset; }
   void complete(std::uint64_t id, const Reply& reply) {
     auto node = waiting_.extract(id);
     if (!node.empty()) node.mapped()(reply);
@@ -86,6 +89,7 @@
 
  private:
   Seconds now_ = 0;
+  double day_offset_ = 0;
   std::uint64_t last_id_ = 0;
   std::vector<Action> actions_;
   std::unordered_map<std::uint64_t, OnReply> waiting_;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -47,6 +47,12 @@
   return job.spec.estimate_s * ratio;
 }
 
+Seconds Scheduler::span(const Job& job) const {
+  double rate = 0;
+  for (const auto& t : catalog_) rate = rate <= 0 ? t.fetch_gb_per_s : std::min(rate, t.fetch_gb_per_s);
+  return estimate(job) + (rate > 0 ? job.spec.image_gb / rate : 0);
+}
+
 bool Scheduler::is_long(const Job& job) const {
   return job.service() || job.gang() || estimate(job) > settings_.tunables.cutoff_s;
 }
@@ -101,7 +107,7 @@
 }
 
 bool Scheduler::startable(const Job& job) const {
-  return job.open() && !job.pending.empty() && out_.now() >= job.not_before && accounted(job);
+  return job.open() && !job.held() && !job.pending.empty() && out_.now() >= job.not_before && accounted(job);
 }
 
 bool Scheduler::can_start(const Machine& m, const Job& job, bool ignore_room) const {
@@ -112,38 +118,67 @@
   return quota_allows(job) && zone_allows(m.zone, job);
 }
 
-// In what times the class's jobs should be done, by its objectives.
-const std::vector<double>& Scheduler::objectives(Ix job_class) const {
-  if (within_.size() <= job_class) within_.resize(job_class + 1);
-  auto& times = within_[job_class];
-  if (!times) {
-    times.emplace();
+// What the settings aim at for the class's arrays.
+const std::vector<Scheduler::Aim>& Scheduler::aims(Ix job_class) const {
+  if (aims_.size() <= job_class) aims_.resize(job_class + 1);
+  auto& aims = aims_[job_class];
+  if (!aims) {
+    aims.emplace();
     for (const auto& o : settings_.objectives) {
-      if (o.kind == "finished" && o.job_class == registry_.classes[job_class]) times->push_back(o.within_s);
+      if (o.job_class != registry_.classes[job_class]) continue;
+      if (o.kind == "finished") aims->push_back({Aim::Kind::finished, o.within_s});
+      if (o.kind == "deadline") aims->push_back({Aim::Kind::deadline, o.times});
+      if (o.kind == "wait") aims->push_back({Aim::Kind::wait, o.within_s});
     }
-    std::sort(times->begin(), times->end());
   }
-  return *times;
+  return *aims;
+}
+
+// Deadlines count from the submission, however long the job waited for others; everything else from when it
+// could start.
+Seconds Scheduler::by(const Job& job, const Aim& aim) const {
+  switch (aim.kind) {
+    case Aim::Kind::finished:
+      return job.since + aim.value;
+    case Aim::Kind::deadline:
+      return job.spec.deadline_s ? job.submitted + aim.value * *job.spec.deadline_s : ports::kNever;
+    case Aim::Kind::wait:  // of a service every second counts, and it goes first anyway
+      return job.service() ? ports::kNever : job.since + aim.value + estimate(job);
+  }
+  return ports::kNever;
 }
 
-// How many of its class's objectives the job cannot meet any more; without any, whether it misses its own
-// deadline.
+// By its class's aims, by what needs it, or, without any of these, by its own deadline.
+template <typename F>
+void Scheduler::each_due(const Job& job, F f) const {
+  bool any = false;
+  for (const Aim& aim : aims(job.job_class)) {
+    const Seconds at = by(job, aim);
+    if (at != ports::kNever) f(at), any = true;
+  }
+  if (job.latest != ports::kNever) f(job.latest), any = true;
+  if (!any && job.spec.deadline_s) f(job.submitted + *job.spec.deadline_s);
+}
+
+// How many of the times it should be over by the job cannot meet any more.
 int Scheduler::lateness(const Job& job, Seconds later) const {
-  const double elapsed = out_.now() + later - job.seen_at, rest = estimate(job);
-  const auto& times = objectives(job.job_class);
-  if (times.empty()) return job.spec.deadline_s && elapsed + rest > *job.spec.deadline_s ? 1 : 0;
-  return static_cast<int>(
-      std::count_if(times.begin(), times.end(), [&](double w) { return elapsed + rest > w; }));
+  const Seconds over = out_.now() + later + estimate(job);
+  int missed = 0;
+  each_due(job, [&](Seconds at) { missed += over > at; });
+  return missed;
 }
 
-// When the job should be done: the first of its class's objectives that it can still meet if it begins
-// `later` than now, else its own deadline.
+// When the job should be done: the first of these times that it can still meet if it begins `later` than now.
 Seconds Scheduler::due(const Job& job, Seconds later) const {
   const double rest = estimate(job);
-  const auto& times = objectives(job.job_class);
-  if (times.empty()) return job.seen_at + job.spec.deadline_s.value_or(10 * rest + 60);
-  const auto missed = static_cast<std::size_t>(lateness(job, later));
-  return job.seen_at + (missed < times.size() ? times[missed] : 10 * times.back());
+  const Seconds over = out_.now() + later + rest;
+  Seconds next = ports::kNever, last = -ports::kNever;
+  each_due(job, [&](Seconds at) {
+    if (over <= at) next = std::min(next, at);
+    last = std::max(last, at);
+  });
+  if (next != ports::kNever) return next;
+  return last > -ports::kNever ? job.since + 10 * std::max(1.0, last - job.since) : job.since + 10 * rest + 60;
 }
 
 double Scheduler::work_left(const Job& job) const {
@@ -171,7 +206,7 @@
 bool Scheduler::before(const Job& a, const Job& b) const {
   const bool ga = under_guarantee(a), gb = under_guarantee(b);
   if (ga != gb) return ga;
-  if (a.spec.priority != b.spec.priority) return a.spec.priority > b.spec.priority;
+  if (a.priority != b.priority) return a.priority > b.priority;
   // Among those, one that can still meet its class's first objective goes first, and of these the one with
   // the least work left: that serves the most users in time when not all can be.
   const int la = lateness(a), lb = lateness(b);
@@ -238,7 +273,7 @@
 }
 
 void Scheduler::arrived(Job& job) {
-  if (job.pending.empty()) return;
+  if (job.pending.empty() || job.held()) return;
   waits(job);
   if (!startable(job)) return;
   if (is_long(job)) return place_long(job);
@@ -482,7 +517,7 @@
     for (std::size_t s = 0; s < m.slots.size(); ++s) {
       const Slot& slot = m.slots[s];
       const Job* other = registry_.at(slot.job);
-      if (!other || !slot.counted || slot.stop || other->spec.priority >= job.spec.priority) continue;
+      if (!other || !slot.counted || slot.stop || other->priority >= job.priority) continue;
       if (other->spec.checkpoint_s > 0 && other->spec.save_s > 0)
         continue;  // its saving would take too long here
       order.push_back(s);
@@ -590,7 +625,7 @@
   std::optional<std::vector<Job*>> victims;
   for (const Ix ix : std::vector<Ix>(waiting_)) {
     Job* job = registry_.at(ix);
-    if (!job || !under_guarantee(*job) || !startable(*job) || out_.now() - job->seen_at < kPatience) continue;
+    if (!job || !under_guarantee(*job) || !startable(*job) || out_.now() - job->since < kPatience) continue;
     if (fails_everywhere(*job)) continue;
     if (settings_.teams[job->team].cpus <= 0 && settings_.teams[job->team].gpus <= 0) continue;
     if (!victims) {
@@ -745,7 +780,7 @@
 // is worth ordinary machines.
 bool Scheduler::flexible(const Job& job) const {
   if (!job.spec.spot) return false;
-  return job.gang() || !is_long(job) || job.seen_at + 2 * estimate(job) <= due(job, 0);
+  return job.gang() || !is_long(job) || job.since + 2 * estimate(job) <= due(job, 0);
 }
 
 void Scheduler::offered(const Job& job) {
@@ -765,10 +800,10 @@
     left[i] = t.cpus_max > 0 ? std::max(0.0, t.cpus_max - agents_.team_use(static_cast<Ix>(i)).cpus) : 1e12;
   }
   registry_.each([&](Job& job) {
-    if (!job.open()) return;
+    if (!job.open() || (job.held() && job.placed == 0)) return;
     const double per = job.spec.need.cpus;
     const double placed = per * job.placed;
-    double wait = per * static_cast<double>(job.pending.size());
+    double wait = job.held() ? 0 : per * static_cast<double>(job.pending.size());
     // What its team's limit holds back needs no machine, and neither does a job that fails wherever it runs.
     wait = out_.now() < job.not_before ? 0 : std::min(wait, left[job.team]);
     left[job.team] -= wait;
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -35,6 +35,7 @@
 
   bool is_long(const Job& job) const;
   double estimate(const Job& job) const;  // the owner's, corrected by what was seen of the class
+  Seconds span(const Job& job) const;     // from when it may start until it is over, if it finds room at once
   // Cores in use, and those that waiting work needs beside them to be in time: for work that is better off on
   // ordinary machines, and for work that may use spot machines. `waiting` is all that waits.
   struct Demand {
@@ -80,7 +81,15 @@
   void reserve(Job& job, std::uint32_t tasks);
   void cancel_reservation(Ix job, std::uint32_t tasks);
   Job* first_long(const Machine& m);
-  const std::vector<double>& objectives(Ix job_class) const;
+  // By when a job should be over: so long after its times began, or that many times its own deadline.
+  struct Aim {
+    enum class Kind : std::uint8_t { finished, deadline, wait } kind;
+    double value;
+  };
+  const std::vector<Aim>& aims(Ix job_class) const;
+  Seconds by(const Job& job, const Aim& aim) const;
+  template <typename F>
+  void each_due(const Job& job, F f) const;
   Seconds due(const Job& job, Seconds later) const;
   int lateness(const Job& job, Seconds later = 0) const;
   double work_left(const Job& job) const;
@@ -121,7 +130,7 @@
     int samples = 0;
   };
   std::vector<ClassStats> classes_;
-  mutable std::vector<std::optional<std::vector<double>>> within_;  // by class: times to be done in
+  mutable std::vector<std::optional<std::vector<Aim>>> aims_;  // by class
   std::unordered_map<Ix, std::pair<double, int>> job_times_;  // mean run time of a job's completed tasks
   double offered_ = 0;  // cores that flexible work would keep busy at the rate at which it has been coming
   Seconds offered_at_ = 0;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -97,6 +97,13 @@
     if (!t) return missing(key, "a table");
     each(Reader(*t, path(key), problems_));
   }
+  template <typename F>
+  void table_if_any(const char* key, F each) {
+    const toml::node* n = table_.get(key);
+    if (!n) return;
+    if (!n->is_table()) return wrong(key, "a table");
+    table(key, each);
+  }
   void wrong(const char* key, const std::string& expected) {
     problems_.push_back(path(key) + ": expected " + expected);
   }
@@ -136,6 +143,7 @@
     objective.job_class = o.text("class");
     objective.within_s = o.number("within_s", 0, kDay, 0);
     objective.share = o.number("share", 0, 1, 0);
+    objective.times = o.number("times", 0, 1000, 1);
     s.objectives.push_back(objective);
   });
   r.table("workers", [&](Reader w) {
@@ -147,10 +155,19 @@
     if (s.cancel_s <= s.lease_s) w.wrong("cancel_s", "more than lease_s");
   });
   r.table("state", [&](Reader t) {
-    s.state_rps = t.number("rps", 1, 1e6);
-    s.state_write_rps = t.number("write_rps", 1, 1e6);
-    s.value_kb = t.number("value_kb", 1, 1e6);
-    s.txn_ops = static_cast<int>(t.number("txn_ops", 4, 1e6));
+    struct {
+      const char* key;
+      double lowest;
+      double value;
+    } limits[] = {{"rps", 1, 0}, {"write_rps", 1, 0}, {"value_kb", 1, 0}, {"txn_ops", 4, 0}};
+    for (auto& l : limits) l.value = t.number(l.key, l.lowest, 1e6);
+    t.table_if_any("next", [&](Reader next) {
+      for (auto& l : limits) l.value = std::min(l.value, next.number(l.key, l.lowest, 1e6, l.value));
+    });
+    s.state_rps = limits[0].value;
+    s.state_write_rps = limits[1].value;
+    s.value_kb = limits[2].value;
+    s.txn_ops = static_cast<int>(limits[3].value);
   });
   r.table("cloud", [&](Reader c) {
     s.cloud_rps = c.number("rps", 0.5, 1e6);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -26,6 +26,7 @@
 struct Objective {
   std::string kind, job_class;
   double within_s = 0, share = 0;
+  double times = 1;  // of a job's own deadline
 };
 
 // Operators' choices. Defaults hold for any deployment; docs/operations.md describes each.
@@ -49,8 +50,11 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   double report_s = 3, lease_s = 30, cancel_s = 60;
+  // Of the limits that hold now and those that will hold from some moment on (`state.next`), the lesser: nobody
+  // announces that moment.
   double state_rps = 100, state_write_rps = 30, value_kb = 8;
   int txn_ops = 12;
+  std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024); }
   double cloud_rps = 8, list_lag_s = 5;
   int max_connections = 1000;
   double memory_mb = 0;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -165,6 +165,14 @@
     if (!good_amount(due)) return R::fail("dueS: expected null or an amount of at least 0");
     s.deadline_s = *due;
   }
+  if (const Value* needs = find(v, "waitsOn")) {
+    auto list = text_list(*needs);
+    if (!list || !std::all_of(list->begin(), list->end(), [](const auto& r) { return valid_ref(r); }))
+      return R::fail("waitsOn: expected null or a list of job references");
+    std::sort(list->begin(), list->end());
+    list->erase(std::unique(list->begin(), list->end()), list->end());
+    s.waits_on = std::move(*list);
+  }
   return s;
 }
 
@@ -189,9 +197,30 @@
   if (!s.types.empty()) v["flavours"] = s.types;
   if (s.zone) v["hall"] = *s.zone;
   if (s.deadline_s) v["dueS"] = *s.deadline_s;
+  if (!s.waits_on.empty()) v["waitsOn"] = s.waits_on;
+  return v;
+}
+
+Value job_record(const JobSpec& spec, double submitted_at) {
+  Value v = job_value(spec);
+  v["submittedAt"] = submitted_at;
+  return v;
+}
+
+std::optional<double> submitted_at(const Value& record) { return amount(record, "submittedAt"); }
+
+Value ended_record(const Ended& e) {
+  Value v{{"phase", phase_name(e.phase)}, {"tasks", e.tasks}};
+  if (e.at) v["at"] = *e.at;
   return v;
 }
 
+std::optional<Ended> parse_ended(const Value& record) {
+  const auto phase = parse_phase(record);
+  if (!phase) return std::nullopt;
+  return Ended{*phase, static_cast<std::uint32_t>(count(record, "tasks").value_or(0)), amount(record, "at")};
+}
+
 const char* phase_name(Phase phase) { return name_of(kPhases, phase); }
 
 Value job_state(const std::string& ref, Phase phase) { return {{"ref", ref}, {"phase", phase_name(phase)}}; }
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -61,11 +61,23 @@
   bool one_zone = false, spread = false, spot = false;
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  std::vector<std::string> waits_on;  // jobs that must be done before any of its tasks starts; each once
 };
 
 bool valid_ref(std::string_view ref);
 Result<JobSpec> parse_job(const Value& v);
 Value job_value(const JobSpec& spec);
+// What the state service holds of a live job: the submission, and the time of day when it was accepted.
+Value job_record(const JobSpec& spec, double submitted_at);
+std::optional<double> submitted_at(const Value& record);
+// And of one that is over. Records of versions before chains have no time.
+struct Ended {
+  Phase phase = Phase::done;
+  std::uint32_t tasks = 0;
+  std::optional<double> at;  // time of day
+};
+Value ended_record(const Ended& ended);
+std::optional<Ended> parse_ended(const Value& record);
 Value job_state(const std::string& ref, Phase phase);
 Value job_progress(const std::string& ref, Phase phase, std::uint32_t done, std::uint32_t running);
 std::optional<Phase> parse_phase(const Value& job_state_value);
@@ -179,6 +191,7 @@
   Txn& put(const std::string& key, Value value, std::uint64_t lease = 0);
   Txn& erase(const std::string& key);
   int ops() const { return ops_; }
+  int conditions() const { return static_cast<int>(body_["if"].size()); }
   Value take() { return std::move(body_); }
 
  private:
