--- a/src/daemon/admission.cpp
+++ b/src/daemon/admission.cpp
@@ -115,25 +115,25 @@
     n->unknown.pop_back();
     txn.require(jobs::kLive + asked.back(), 0).require(jobs::kFinal + asked.back(), 0);
   }
-  store_.txn(std::move(txn), store::Urgency::user, ports::kNever,
-             [this, n, asked = std::move(asked)](const store::Reply& r) {
-               if (r.status != 200 && r.status != 409) {
-                 // This node alone may be refused; a peer that is served can find out just as well.
-                 const auto peer = n->from.by_peer ? std::nullopt : served_peer(peer::kLevel);
-                 return hand_on(n->from, peer, "POST", wire::kJobsPath, n->bytes, kCreateTimeout,
-                                [this, n, status = r.status] { try_later(n->from, status == 429 ? 429 : 503); });
-               }
-               const auto exist = r.status == 409 ? wire::failed_keys(r.body) : std::vector<std::string>{};
-               const auto has = [&exist](const std::string& key) {
-                 return std::find(exist.begin(), exist.end(), key) != exist.end();
-               };
-               for (const std::string& ref : asked) {
-                 if (!has(jobs::kLive + ref) && !has(jobs::kFinal + ref))
-                   return refuse_unless_accepted(n->from, n->spec.ref,
-                                                 "waitsOn: " + ref + " was never accepted");
-               }
-               check_some_needs(n);
-             });
+  store_.txn(
+      std::move(txn), store::Urgency::user, ports::kNever,
+      [this, n, asked = std::move(asked)](const store::Reply& r) {
+        if (r.status != 200 && r.status != 409) {
+          // This node alone may be refused; a peer that is served can find out just as well.
+          const auto peer = n->from.by_peer ? std::nullopt : served_peer(peer::kLevel);
+          return hand_on(n->from, peer, "POST", wire::kJobsPath, n->bytes, kCreateTimeout,
+                         [this, n, status = r.status] { try_later(n->from, status == 429 ? 429 : 503); });
+        }
+        const auto exist = r.status == 409 ? wire::failed_keys(r.body) : std::vector<std::string>{};
+        const auto has = [&exist](const std::string& key) {
+          return std::find(exist.begin(), exist.end(), key) != exist.end();
+        };
+        for (const std::string& ref : asked) {
+          if (!has(jobs::kLive + ref) && !has(jobs::kFinal + ref))
+            return refuse_unless_accepted(n->from, n->spec.ref, "waitsOn: " + ref + " was never accepted");
+        }
+        check_some_needs(n);
+      });
 }
 
 // ---------------------------------------------------------------- creation
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -258,7 +258,8 @@
   total("wingtrail_writes_of_roster_total", "of these, pages of machines", s.roster_written);
   total("wingtrail_writes_of_progress_total", "of these, pages of completed tasks", s.progress_written);
   total("wingtrail_pages_divided_total", "pages found larger than may be written", s.pages_divided);
-  total("wingtrail_writes_malformed_total", "transactions that the state service called malformed", s.malformed);
+  total("wingtrail_writes_malformed_total", "transactions that the state service called malformed",
+        s.malformed);
   gauge("wingtrail_held_jobs", "live jobs that wait for others", static_cast<double>(s.held_jobs));
   total("wingtrail_chains_ready_total", "jobs whose needs were met", s.chains_ready);
   total("wingtrail_orphaned_total", "jobs cancelled with one that they need", s.orphaned);
--- a/src/daemon/leading.cpp
+++ b/src/daemon/leading.cpp
@@ -166,8 +166,8 @@
       "{} "
       "tasks had to start again",
       job.spec.ref, job.spec.job_class, job.spec.team, wire::phase_name(job.final_phase),
-      out_.now() - job.since, std::max(0.0, job.last_start - job.since), scheduler_.estimate(job),
-      job.lost, job.spec.tasks);
+      out_.now() - job.since, std::max(0.0, job.last_start - job.since), scheduler_.estimate(job), job.lost,
+      job.spec.tasks);
   scheduler_.over(job);
   registry_.drop_if_over(job);
   follow_chains();
@@ -197,7 +197,8 @@
 }
 
 void Node::ask_about_needs() {
-  constexpr int kAtOnce = 8;  // a take-over may have hundreds to ask about, and others need the state service too
+  constexpr int kAtOnce =
+      8;  // a take-over may have hundreds to ask about, and others need the state service too
   while (entitled() && asking_ < kAtOnce && !to_ask_.empty()) {
     const std::string ref = std::move(to_ask_.front());
     to_ask_.pop_front();
@@ -205,8 +206,8 @@
   }
 }
 
-// Most needed jobs that are not live were over before this leadership. One that is not over either was created
-// a moment ago, and its creation has not been seen here yet. Absent is never taken for done.
+// Most needed jobs that are not live were over before this leadership. One that is not over either was
+// created a moment ago, and its creation has not been seen here yet. Absent is never taken for done.
 void Node::ask_about(const std::string& ref) {
   ++asking_;
   store_.get(jobs::kFinal + ref, store::Urgency::user, [this, ref, term = term_](const store::Reply& r) {
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -387,11 +387,13 @@
   spdlog::debug(
       "so far: {} reports, {} direct calls, {} orders, {} deadlines, {} tasks started, {} preempted, {} "
       "reclaimed, {} machines and {} jobs "
-      "examined, {} state calls ({} held back), {} writes ({} ends, {} roster, {} progress), {} handed on; now {} "
+      "examined, {} state calls ({} held back), {} writes ({} ends, {} roster, {} progress), {} handed on; "
+      "now {} "
       "jobs ({} wait for others), {} machines, {} pages",
       s.reports, s.direct_calls, s.orders, s.deadlines, s.tasks_started, s.preempted, s.reclaimed,
       s.machines_examined, s.jobs_examined, s.state_calls, s.state_refused, s.state_writes, s.ends_written,
-      s.roster_written, s.progress_written, s.forwarded, s.live_jobs, s.held_jobs, s.machines, s.record_pages);
+      s.roster_written, s.progress_written, s.forwarded, s.live_jobs, s.held_jobs, s.machines,
+      s.record_pages);
   out_.after(kStatsEvery, [this] { tell_stats(); });
 }
 
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -50,7 +50,7 @@
   void request(Seconds now, const Incoming& in);  // from users and workers
   void peer(Seconds now, std::uint64_t id, const peer::Frame& frame);
   void reply(Seconds now, std::uint64_t call, const ports::Reply& reply);
-  void tick(Seconds now);  // when next_wake() has come
+  void tick(Seconds now);                                              // when next_wake() has come
   void set_day_offset(double offset) { out_.set_day_offset(offset); }  // time of day less steady time
   Seconds next_wake() const { return out_.next_wake(); }
   std::vector<ports::Action> drain();
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -313,8 +313,7 @@
 
 // Work that no present or coming machine may run asks for a machine of its own.
 void Fleet::rent_for(const jobs::Job& job) {
-  if (!job.open() || job.pending.empty() || out_.now() - job.since < 1 || out_.now() < job.not_before)
-    return;
+  if (!job.open() || job.pending.empty() || out_.now() - job.since < 1 || out_.now() < job.not_before) return;
   auto holds = [&](Ix type_ix) {
     const wire::MachineType* t = type(type_ix);
     if (!t) return 0.0;
--- a/src/jobs/chains.cpp
+++ b/src/jobs/chains.cpp
@@ -53,6 +53,7 @@
     }
     const bool known = by_ref_.contains(ref);
     Job* needed = registry_.find(ref);
+    lost |= needed && needed->orphan;
     const N m = node(ref, needed);
     if (!known && !needed) unknown_.push_back(ref);
     nodes_[n].needs.push_back(m);
@@ -64,8 +65,8 @@
   if (lost) orphan(n);
 }
 
-// The job will never start, and so will none that needs it, directly or through others. All are found at once:
-// closing them one generation after another would take a write's time for each.
+// The job will never start, and so will none that needs it, directly or through others. All are found at
+// once: closing them one generation after another would take a write's time for each.
 void Chains::orphan(N first) {
   std::vector<N> open{first};
   while (!open.empty()) {
--- a/src/jobs/chains.hpp
+++ b/src/jobs/chains.hpp
@@ -1,5 +1,5 @@
-// Which jobs wait for which, and what follows from the end of one. Jobs and ends go in; out come the jobs that
-// may start now, those that never can, and the names of those that nothing is known of yet.
+// Which jobs wait for which, and what follows from the end of one. Jobs and ends go in; out come the jobs
+// that may start now, those that never can, and the names of those that nothing is known of yet.
 //
 // A need is met only by an end that is committed: a job that is merely unknown may be live (its creation can
 // be seen before that of a job it needs) or over (before this leadership), so it has to be asked about.
@@ -28,9 +28,9 @@
   Chains(Registry& registry, Link link) : registry_(registry), link_(std::move(link)) {}
 
   void clear();
-  void join(Job& job);                              // it is new to the registry
-  void ended(const std::string& ref, End end);      // committed; again does no harm
-  bool asks_for(const std::string& ref) const;      // somebody needs it and it is not known here
+  void join(Job& job);                          // it is new to the registry
+  void ended(const std::string& ref, End end);  // committed; again does no harm
+  bool asks_for(const std::string& ref) const;  // somebody needs it and it is not known here
   // Highest priority and earliest finish travel from each job to those that it needs.
   void spread_urgency();
 
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -239,8 +239,7 @@
     const int ops = job.intent ? kCloseOps : kCloseOps - 1;
     if (ops > room) return;
     room -= ops;
-    txn.put(kFinal + job.spec.ref,
-            wire::ended_record({job.final_phase, job.spec.tasks, out_.time_of_day()}));
+    txn.put(kFinal + job.spec.ref, wire::ended_record({job.final_phase, job.spec.tasks, out_.time_of_day()}));
     txn.erase(kLive + job.spec.ref);
     if (job.intent) txn.erase(kLive + job.spec.ref + kAbortMark);
     c.closes.push_back(job.ix);
@@ -324,7 +323,8 @@
   in_flight_ = true;
   const int ops = txn.ops();
   store_.txn(std::move(txn), user ? store::Urgency::user : store::Urgency::background,
-             link_.authority_until(), [this, term = term_, ops, c = std::move(c)](const store::Reply& r) mutable {
+             link_.authority_until(),
+             [this, term = term_, ops, c = std::move(c)](const store::Reply& r) mutable {
                if (term != term_) return;
                in_flight_ = false;
                if (r.status == 200) return committed(c);
@@ -368,7 +368,8 @@
 }
 
 // The state service calls the transaction malformed, and would do so again: its limits are lower than the
-// settings say. Fewer records go together from now on; one that is refused by itself must not stop the others.
+// settings say. Fewer records go together from now on; one that is refused by itself must not stop the
+// others.
 void Ledger::malformed(const Commit& c, int ops) {
   ++refused_;
   spdlog::error("the state service calls a transaction of {} changes malformed", ops);
@@ -381,7 +382,8 @@
     page_bytes_ = std::max(kLeastPage, std::min(page_bytes_, size / 2));
     if (pages[n].entries.size() <= 1) pages[n].since = out_.now() + kRefusedPause;
   };
-  for (const auto& [n, covers] : c.progress) smaller(progress_, n, [this](auto p) { return progress_value(p); });
+  for (const auto& [n, covers] : c.progress)
+    smaller(progress_, n, [this](auto p) { return progress_value(p); });
   for (const auto& [n, joined] : c.roster) smaller(roster_, n, [this](auto p) { return roster_value(p); });
   for (const Ix ix : c.closes) {
     spdlog::error("{}: its end cannot be recorded", registry_.at(ix)->spec.ref);
--- a/src/jobs/ledger.hpp
+++ b/src/jobs/ledger.hpp
@@ -60,8 +60,8 @@
 
   // Persist the job's final state; `then` runs when that is certain. More than one may wait for it.
   void close(Job& job, wire::Phase phase, std::function<void()> then);
-  // The same for one that can never start, since a job that it needs is cancelled; those that users wait for go
-  // first.
+  // The same for one that can never start, since a job that it needs is cancelled; those that users wait for
+  // go first.
   void close_orphan(Job& job);
   void progress(Job& job, std::uint32_t task, Ix machine, std::uint64_t attempt);  // a task was completed
   void enlist(Ix machine);
@@ -95,7 +95,8 @@
   std::size_t images_bytes() const;
   std::size_t roster_bytes() const { return page_bytes_ - names_bytes(); }
   std::size_t record_size(const wire::Value& record) const;
-  // The page's value; nothing if it has to wait: for others, or because it was too large and has been divided.
+  // The page's value; nothing if it has to wait: for others, or because it was too large and has been
+  // divided.
   template <typename Entry, typename Encode>
   std::optional<wire::Value> writable(Pages<Entry>& pages, std::size_t n, std::size_t limit, Encode encode);
   void arm(Seconds delay);
@@ -120,7 +121,7 @@
   std::deque<Ix> closes_, orphans_;
   Pages<Chunk> progress_;
   Pages<Ix> roster_;
-  std::set<Ix> joining_;  // machines to be told of once their page is written
+  std::set<Ix> joining_;                          // machines to be told of once their page is written
   std::map<Chunk, std::vector<Ended>> awaiting_;  // completed, not persisted
   std::map<Ix, std::vector<std::function<void()>>> close_waiters_;
   bool active_ = false, in_flight_ = false, armed_ = false;
--- a/src/jobs/pages.hpp
+++ b/src/jobs/pages.hpp
@@ -1,9 +1,9 @@
-// Records kept many to a value, since the state service counts writes: which entry is in which page, which pages
-// are due, and in which order they may be written so that no crash loses an entry.
+// Records kept many to a value, since the state service counts writes: which entry is in which page, which
+// pages are due, and in which order they may be written so that no crash loses an entry.
 //
-// Values that another version wrote, or that were written under other limits, may be larger than may be written
-// now, and may hold an entry twice. A page that is too large is divided when it is due; what moves is written in
-// its new place before it leaves the old one.
+// Values that another version wrote, or that were written under other limits, may be larger than may be
+// written now, and may hold an entry twice. A page that is too large is divided when it is due; what moves is
+// written in its new place before it leaves the old one.
 #pragma once
 
 #include <algorithm>
@@ -54,8 +54,8 @@
     return n;
   }
 
-  // A stored page holds the entry. If another one does too, that one keeps it, and this one is written anew once
-  // the other, which may by now hold more than either did, has been.
+  // A stored page holds the entry. If another one does too, that one keeps it, and this one is written anew
+  // once the other, which may by now hold more than either did, has been.
   void stored(const Entry& e, std::size_t bytes, std::size_t n, Seconds now) {
     if (pages_.size() <= n) pages_.resize(n + 1);
     const auto first = page_of(e);
@@ -88,7 +88,8 @@
   }
   bool may_be_written(std::size_t n) const { return pages_[n].behind.empty(); }
 
-  // Moves entries to other pages until this one keeps to the limit; true if any had to. One entry always stays.
+  // Moves entries to other pages until this one keeps to the limit; true if any had to. One entry always
+  // stays.
   bool divide(std::size_t n, std::size_t limit, Seconds now) {
     bool moved = false;
     while (pages_[n].bytes > limit && pages_[n].entries.size() > 1) {
--- a/src/jobs/registry.hpp
+++ b/src/jobs/registry.hpp
@@ -54,8 +54,8 @@
   Ix team = kNone, image = kNone, job_class = kNone, zone = kNone;
   std::vector<Ix> types;      // empty: any
   std::uint64_t created = 0;  // revision of its creation
-  Seconds submitted = 0;  // what its own deadline counts from
-  Seconds since = 0;      // what all other times count from: it was submitted, and all it needs is done
+  Seconds submitted = 0;      // what its own deadline counts from
+  Seconds since = 0;          // what all other times count from: it was submitted, and all it needs is done
   // Set by Chains. A job that waits for others has no part in anything but their ends.
   std::uint32_t unmet = 0;         // jobs that it needs and that are not known to be done
   bool orphan = false;             // one of them is cancelled
@@ -107,8 +107,8 @@
   }
   std::size_t live() const { return by_ref_.size(); }
   std::size_t held() const {
-    return static_cast<std::size_t>(
-        std::count_if(by_ref_.begin(), by_ref_.end(), [this](const auto& j) { return jobs_[j.second]->held(); }));
+    return static_cast<std::size_t>(std::count_if(by_ref_.begin(), by_ref_.end(),
+                                                  [this](const auto& j) { return jobs_[j.second]->held(); }));
   }
 
   void place(Job& job, std::uint32_t task, Ix machine, Ix zone);
--- a/src/ports/outbox.hpp
+++ b/src/ports/outbox.hpp
@@ -60,7 +60,8 @@
   using OnReply = std::function<void(const Reply&)>;
 
   Seconds now() const { return now_; }
-  // Seconds since 1970, right within the bound that the platform gives; for what must mean the same to all nodes.
+  // Seconds since 1970, right within the bound that the platform gives; for what must mean the same to all
+  // nodes.
   double time_of_day() const { return now_ + day_offset_; }
 
   void call(Call call, OnReply then) {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -178,7 +178,8 @@
     last = std::max(last, at);
   });
   if (next != ports::kNever) return next;
-  return last > -ports::kNever ? job.since + 10 * std::max(1.0, last - job.since) : job.since + 10 * rest + 60;
+  return last > -ports::kNever ? job.since + 10 * std::max(1.0, last - job.since)
+                               : job.since + 10 * rest + 60;
 }
 
 double Scheduler::work_left(const Job& job) const {
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -131,7 +131,7 @@
   };
   std::vector<ClassStats> classes_;
   mutable std::vector<std::optional<std::vector<Aim>>> aims_;  // by class
-  std::unordered_map<Ix, std::pair<double, int>> job_times_;  // mean run time of a job's completed tasks
+  std::unordered_map<Ix, std::pair<double, int>> job_times_;   // mean run time of a job's completed tasks
   double offered_ = 0;  // cores that flexible work would keep busy at the rate at which it has been coming
   Seconds offered_at_ = 0;
   Seconds last_second_ = 0;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -50,8 +50,8 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   double report_s = 3, lease_s = 30, cancel_s = 60;
-  // Of the limits that hold now and those that will hold from some moment on (`state.next`), the lesser: nobody
-  // announces that moment.
+  // Of the limits that hold now and those that will hold from some moment on (`state.next`), the lesser:
+  // nobody announces that moment.
   double state_rps = 100, state_write_rps = 30, value_kb = 8;
   int txn_ops = 12;
   std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024); }
--- /dev/null
+++ b/tests/records_test.cpp
@@ -0,0 +1,280 @@
+// What one version writes and another reads: the layouts are encoded and decoded here by the test's own code,
+// as the version before chains does it, and by the ledger under either limit.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "jobs/ledger.hpp"
+
+namespace wingtrail::jobs {
+namespace {
+
+// A state service that keeps what it is given, and a ledger that leads.
+class RecordsTest : public ::testing::Test {
+ protected:
+  std::map<std::string, wire::Value> kept;
+  std::size_t largest = 0, most_ops = 0;
+  std::size_t refuse_above = 1 << 20;  // values larger than this are called malformed
+  int crash_after = -1;                // so many transactions are applied
+
+  struct Leader {
+    settings::Settings settings;
+    ports::Outbox out;
+    store::Client store;
+    Registry registry;
+    Ledger ledger;
+    std::vector<std::string> hosts;  // by index
+    std::set<Ix> enlisted;
+    explicit Leader(double value_kb, int txn_ops)
+        : settings(with(value_kb, txn_ops)),
+          store(out, settings),
+          registry(settings),
+          ledger(out, store, registry, settings,
+                 {[] { return std::uint64_t{7}; }, [] { return 1e9; }, [] {}, "lead"}) {
+      ledger.set_events({[](Job&) {}, [](const std::vector<Ledger::Ended>&) {},
+                         [this](Ix ix) { enlisted.insert(ix); },
+                         [this](Ix ix) { return record(hosts[ix]); }});
+      ledger.begin();
+    }
+    static settings::Settings with(double value_kb, int txn_ops) {
+      settings::Settings s;
+      s.value_kb = value_kb;
+      s.txn_ops = txn_ops;
+      s.state_rps = s.state_write_rps = 1e6;
+      s.teams = {{"t"}};
+      return s;
+    }
+    Ix host(const std::string& name) {
+      hosts.push_back(name);
+      return static_cast<Ix>(hosts.size() - 1);
+    }
+    Job& job(const std::string& ref, std::uint32_t tasks) {
+      wire::JobSpec s;
+      s.ref = ref;
+      s.tasks = tasks;
+      return registry.add(s, 1, 0);
+    }
+  };
+
+  static wire::Value record(const std::string& host) {
+    return {{"host", host},      {"addr", "10.1.0.232:9000"},
+            {"type", "kast-16"}, {"zone", "brussel-noord"},
+            {"spot", true},      {"images", {"img-0007", "img-0012"}}};
+  }
+
+  // Lets the ledger write until nothing is left to do; false once it has "crashed".
+  bool run(Leader& l) {
+    for (int i = 0; i < 4000; ++i) {
+      for (auto& action : l.out.drain()) {
+        const auto& call = std::get<ports::Call>(action);
+        ports::Reply r;
+        std::size_t size = 0;
+        for (const auto& op : call.body["apply"]) {
+          if (op.contains("data")) size = std::max(size, op["data"].dump().size());
+        }
+        if (crash_after == 0) return false;
+        r.status = size > refuse_above ? 400 : 200;
+        if (r.status == 200) {
+          if (crash_after > 0) --crash_after;
+          largest = std::max(largest, size);
+          most_ops = std::max(most_ops, call.body["apply"].size());
+          for (const auto& op : call.body["apply"]) {
+            if (op.contains("put")) kept[op["put"].get<std::string>()] = op["data"];
+          }
+          r.body = {{"ledgerRev", 9}};
+        }
+        l.out.complete(call.id, r);
+      }
+      l.out.set_now(l.out.now() + 0.05);
+      l.out.run_timers();
+    }
+    return true;
+  }
+  void load(Leader& l) {
+    for (const auto& [key, value] : kept) {
+      if (key.starts_with(kProgress)) {
+        EXPECT_TRUE(l.ledger.load_progress(key, value)) << key;
+      }
+      if (key.starts_with(kRoster)) {
+        EXPECT_TRUE(l.ledger.load_roster(key, value, [&l](const wire::Value& r) {
+          const auto host = wire::text(r, "host").value();
+          for (Ix ix = 0; ix < l.hosts.size(); ++ix) {
+            if (l.hosts[ix] == host) return ix;
+          }
+          return l.host(host);
+        }));
+      }
+    }
+  }
+
+  // The former layout, in as few words as it takes.
+  static wire::Value former_entry(const std::string& ref, std::uint32_t from, std::uint32_t to,
+                                  const std::set<std::uint32_t>& done) {
+    std::string bits;
+    for (std::uint32_t i = from; i < to; i += 6) {
+      unsigned six = 0;
+      for (unsigned b = 0; b < 6; ++b) six |= done.contains(i + b) ? 1U << b : 0;
+      bits += six == '\\' - '0' ? 'z' : static_cast<char>('0' + six);
+    }
+    return {{"ref", ref}, {"from", from}, {"bits", bits}};
+  }
+  std::set<std::uint32_t> former_reads(const std::string& ref) const {
+    std::set<std::uint32_t> done;
+    for (const auto& [key, value] : kept) {
+      if (!key.starts_with(kProgress)) continue;
+      for (const auto& entry : value) {
+        if (entry["ref"] != ref) continue;
+        const auto bits = entry["bits"].get<std::string>();
+        for (std::size_t i = 0; i < bits.size() * 6; ++i) {
+          const int six = bits[i / 6] == 'z' ? '\\' - '0' : bits[i / 6] - '0';
+          if (six >> (i % 6) & 1)
+            done.insert(entry["from"].get<std::uint32_t>() + static_cast<std::uint32_t>(i));
+        }
+      }
+    }
+    return done;
+  }
+  std::multiset<std::string> former_hosts() const {
+    std::multiset<std::string> out;
+    for (const auto& [key, value] : kept) {
+      if (!key.starts_with(kRoster)) continue;
+      for (const auto& h : value["hosts"]) {
+        for (const char* field : {"addr", "type", "zone"}) EXPECT_TRUE(wire::text(h, field));
+        for (const auto& i : h["images"]) EXPECT_LT(i.get<std::size_t>(), value["images"].size());
+        out.insert(h["host"].get<std::string>());
+      }
+    }
+    return out;
+  }
+  static std::string name(int i) { return "i-" + std::to_string(100000 + i); }
+};
+
+// A chunk of the former layout is several of ours; each part must stay recorded when its page is rewritten,
+// and a crash in the middle must lose nothing.
+TEST_F(RecordsTest, LargeArraysOfTheFormerLayoutSurviveTheSmallerLimits) {
+  constexpr std::uint32_t kTasks = 100'000, kChunk = 4096 * 6;
+  std::set<std::uint32_t> done;
+  for (std::uint32_t i = 0; i < kTasks; ++i) {
+    if (i * 2654435761U % 7 < 3) done.insert(i);
+  }
+  std::map<std::string, wire::Value> former;
+  for (std::uint32_t c = 0; c * kChunk < kTasks; ++c) {
+    former["p/" + std::to_string(c)] =
+        wire::Value::array({former_entry("req-1", c * kChunk, std::min(kTasks, (c + 1) * kChunk), done),
+                            former_entry("req-2", 0, 30, {c})});
+  }
+  for (int crash = 0; crash < 24; ++crash) {
+    kept = former;
+    crash_after = crash;
+    Leader a(2, 4);
+    a.job("req-1", kTasks);
+    a.job("req-2", 30);
+    load(a);
+    ASSERT_EQ(a.registry.find("req-1")->done, done.size());
+    // One more task of each of the former chunks, so that every page is written anew.
+    std::set<std::uint32_t> more = done;
+    for (std::uint32_t t = 5; t < kTasks; t += kChunk) {
+      if (done.contains(t)) continue;
+      a.registry.complete(*a.registry.find("req-1"), t, kNone);
+      a.ledger.progress(*a.registry.find("req-1"), t, 0, 1);
+      more.insert(t);
+    }
+    const bool whole = run(a);
+    EXPECT_LE(largest, 2048U);
+    EXPECT_LE(most_ops, 4U);
+    const auto read = former_reads("req-1");
+    EXPECT_TRUE(std::includes(read.begin(), read.end(), done.begin(), done.end())) << "crash after " << crash;
+    Leader b(2, 4);
+    b.job("req-1", kTasks);
+    b.job("req-2", 30);
+    crash_after = -1;
+    load(b);
+    EXPECT_GE(b.registry.find("req-1")->done, done.size());
+    EXPECT_EQ(b.registry.find("req-2")->done, 5U);
+    if (!whole) continue;
+    EXPECT_EQ(read, more);
+  }
+}
+
+// And back: the reader of the former layout finds all that was written under the smaller limits.
+TEST_F(RecordsTest, WhatIsWrittenUnderSmallerLimitsReadsUnderLargerOnes) {
+  Leader small(2, 4);
+  Job& job = small.job("req-1", 100'000);
+  for (std::uint32_t i = 0; i < 100'000; i += 3) {
+    small.registry.complete(job, i, kNone);
+    small.ledger.progress(job, i, 0, 1);
+  }
+  ASSERT_TRUE(run(small));
+  EXPECT_EQ(former_reads("req-1").size(), job.done);
+  Leader large(8, 12);
+  Job& again = large.job("req-1", 100'000);
+  load(large);
+  EXPECT_EQ(again.done, job.done);
+  // Rewriting gathers the parts of a chunk; none is lost, whenever it crashes.
+  large.registry.complete(again, 1, kNone);
+  large.ledger.progress(again, 1, 0, 1);
+  crash_after = 1;
+  run(large);
+  EXPECT_GE(former_reads("req-1").size(), job.done);
+}
+
+TEST_F(RecordsTest, ARosterOfTheFormerLayoutIsDividedAndNoMachineIsLost) {
+  std::map<std::string, wire::Value> former;
+  std::set<std::string> all;
+  for (int page = 0; page < 6; ++page) {
+    wire::Value hosts = wire::Value::array();
+    for (int i = 0; i < 45; ++i) {
+      wire::Value r = record(name(page * 45 + i));
+      r["images"] = {0, 1};
+      all.insert(r["host"].get<std::string>());
+      hosts.push_back(std::move(r));
+    }
+    former["r/" + std::to_string(page)] = {{"images", {"img-0007", "img-0012"}}, {"hosts", hosts}};
+  }
+  for (int crash = 0; crash < 30; crash += 3) {
+    kept = former;
+    crash_after = crash;
+    Leader l(2, 4);
+    load(l);
+    ASSERT_EQ(l.hosts.size(), all.size());
+    // One machine of each page is gone, and a new one joins.
+    for (int page = 0; page < 6; ++page) l.ledger.delist(static_cast<Ix>(page * 45));
+    const Ix fresh = l.host("i-900000");
+    l.ledger.enlist(fresh);
+    const bool whole = run(l);
+    EXPECT_LE(largest, 2048U);
+    const auto read = former_hosts();
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      EXPECT_TRUE(i % 45 == 0 || read.contains(l.hosts[i])) << l.hosts[i] << " after " << crash;
+    }
+    EXPECT_EQ(l.enlisted.contains(fresh), read.contains("i-900000"));
+    if (!whole) continue;
+    EXPECT_EQ(read.size(), all.size() - 6 + 1) << "each machine once, and none that is gone";
+  }
+}
+
+// A limit that the settings do not tell of: the page that is refused is made smaller, the others go on.
+TEST_F(RecordsTest, WhatTheStateServiceRefusesIsDividedFurther) {
+  refuse_above = 700;
+  Leader l(8, 12);
+  for (int i = 0; i < 60; ++i) l.ledger.enlist(l.host(name(i)));
+  ASSERT_TRUE(run(l));
+  EXPECT_EQ(l.enlisted.size(), 60U);
+  EXPECT_EQ(former_hosts().size(), 60U);
+  EXPECT_LE(largest, 700U);
+  EXPECT_GT(l.ledger.refused(), 0U);
+}
+
+TEST_F(RecordsTest, EndsTellTheTimeAndFormerOnesAreRead) {
+  const auto ended = wire::parse_ended({{"phase", "done"}, {"tasks", 3}});
+  ASSERT_TRUE(ended);
+  EXPECT_FALSE(ended->at);
+  const auto back = wire::parse_ended(wire::ended_record({wire::Phase::cancelled, 4, 1e9}));
+  ASSERT_TRUE(back && back->at);
+  EXPECT_EQ(back->phase, wire::Phase::cancelled);
+  EXPECT_DOUBLE_EQ(*back->at, 1e9);
+}
+
+}  // namespace
+}  // namespace wingtrail::jobs
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -78,6 +78,29 @@
   }
 }
 
+// Nobody announces when the state service goes over to `next`: the lesser of both holds from the start.
+TEST(Settings, OfTheStateServicesLimitsTheLesserCounts) {
+  const auto with = [](const std::string& next) {
+    return parse(changed("txn_ops = 12\n", "txn_ops = 12\n" + next), "");
+  };
+  auto l = with("[params.state.next]\nwrite_rps = 21.0\nvalue_kb = 2.0\ntxn_ops = 4\n");
+  ASSERT_TRUE(l.problems.empty()) << l.problems[0];
+  EXPECT_DOUBLE_EQ(l.settings.state_write_rps, 21);
+  EXPECT_DOUBLE_EQ(l.settings.value_kb, 2);
+  EXPECT_EQ(l.settings.txn_ops, 4);
+  EXPECT_DOUBLE_EQ(l.settings.state_rps, 120);
+  l = with("[params.state.next]\nvalue_kb = 64.0\n");
+  ASSERT_TRUE(l.problems.empty()) << l.problems[0];
+  EXPECT_DOUBLE_EQ(l.settings.value_kb, 8);
+  EXPECT_TRUE(with("").problems.empty());
+  for (const char* bad : {"[params.state.next]\ntxn_ops = 1\n", "[params.state.next]\nvalue_kb = -2\n",
+                          "[params.state.next]\nrps = \"many\"\n", "next = 3\n"}) {
+    l = with(bad);
+    ASSERT_EQ(l.problems.size(), 1U) << bad;
+    EXPECT_TRUE(l.problems[0].starts_with("params.state.next")) << l.problems[0];
+  }
+}
+
 TEST(Tunables, UnknownNamesTypesAndRangesAreRefused) {
   for (const char* yaml : {"cutof_s: 1", "cutoff_s: soon", "cutoff_s: -1", "steal_sample: 1.5", "- 1", "a: [",
                            "headroom: .nan"}) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -67,6 +67,15 @@
   bool hold = false;
 };
 
+Plan plan_of(std::uint64_t seed) {
+  Plan plan;
+  plan.seed = seed;
+  plan.limits = seed % 4 != 0;
+  plan.chains = seed % 2 != 0;
+  plan.upgrade = seed % 3 == 0;
+  return plan;
+}
+
 World::World(Plan plan, Outside outside)
     : plan_(std::move(plan)), outside_(std::move(outside)), rng_(plan_.seed) {
   settings_.zones = {"z0", "z1"};
@@ -159,7 +168,8 @@
       spdlog::debug("  leader: known {}, pending {}, placed {}, failed on {} machines", known != nullptr,
                     known ? known->pending.size() : 0, known ? known->placed : 0,
                     known ? known->failed_on.size() : 0);
-      if (known) spdlog::debug("  unmet {}, orphan {}, closing {}", known->unmet, known->orphan, known->closing);
+      if (known)
+        spdlog::debug("  unmet {}, orphan {}, closing {}", known->unmet, known->orphan, known->closing);
       for (auto& m : c->node->agents().all()) {
         if (m.gone) continue;
         spdlog::debug(
@@ -982,9 +992,10 @@
 }
 
 bool World::may_be_cancelled(const UserJob& job) const {
-  if (job.told_done || (job.over() && job.spec.shape != wire::Shape::service && !job.want_abort)) return false;
-  return job.want_abort ||
-         std::any_of(job.needs.begin(), job.needs.end(), [this](const UserJob* n) { return may_be_cancelled(*n); });
+  if (job.told_done || (job.over() && job.spec.shape != wire::Shape::service && !job.want_abort))
+    return false;
+  return job.want_abort || std::any_of(job.needs.begin(), job.needs.end(),
+                                       [this](const UserJob* n) { return may_be_cancelled(*n); });
 }
 
 // Neither done nor bound to be: cancelled, submitted with a mistake, or in need of one that is.
@@ -1028,7 +1039,8 @@
   const std::size_t i = pick(kNodes);
   send("users", node_name(i), [this, in, i, ref = s.ref] {
     deliver(i, in, [this, ref](const ports::Answer& a) {
-      if (a.status < 300 || a.status == 400) broke("protocol", ref + " needs what never was, but got " + std::to_string(a.status));
+      if (a.status < 300 || a.status == 400)
+        broke("protocol", ref + " needs what never was, but got " + std::to_string(a.status));
     });
   });
 }
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -29,14 +29,17 @@
   std::uint32_t size = 1;  // jobs have that many times the tasks
   double arrival_s = 6;    // longest time between two jobs
   bool chains = false;     // half of the jobs wait for others
-  // The state service lowers its limits at some moment; nodes that were not restarted since the beginning do not
-  // know that, and write under the limits, and so in the layout, of before.
+  // The state service lowers its limits at some moment; nodes that were not restarted since the beginning do
+  // not know that, and write under the limits, and so in the layout, of before.
   bool upgrade = false;
   double undeclared = 1;  // the share of the limits in the settings that the state service really grants
   // A fault planted on purpose, to show that a check can fail. See docs/safety.md.
   std::string sabotage;
 };
 
+// What world_hunt and the suite play for a seed: every other one with chains, every third with an upgrade.
+Plan plan_of(std::uint64_t seed);
+
 struct Verdict {
   std::vector<std::string> broken;  // rule and circumstances
   std::size_t started = 0, accepted = 0, finished = 0, cancelled = 0, elections = 0, unfinished = 0;
--- a/tests/world_hunt.cpp
+++ b/tests/world_hunt.cpp
@@ -11,11 +11,7 @@
   spdlog::set_level(argc > 3 ? spdlog::level::from_str(argv[3]) : spdlog::level::off);
   int broken = 0, unfinished = 0;
   for (int seed = first; seed < first + count; ++seed) {
-    wingtrail::world::Plan plan;
-    plan.seed = static_cast<std::uint64_t>(seed);
-    plan.limits = seed % 4 != 0;
-    plan.chains = seed % 2 != 0;
-    plan.upgrade = seed % 3 == 0;
+    wingtrail::world::Plan plan = wingtrail::world::plan_of(static_cast<std::uint64_t>(seed));
     if (argc > 4) plan.fault_every_s = 0;
     const auto v = wingtrail::world::World(plan).run();
     for (const auto& b : v.broken) std::cout << b << "\n";
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -13,15 +13,14 @@
 
 // To repeat one: world_hunt SEED 1
 TEST_P(Seeds, RulesHoldUnderTroubles) {
-  Plan plan;
-  plan.seed = static_cast<std::uint64_t>(GetParam());
-  plan.limits = plan.seed % 4 != 0;
+  const Plan plan = plan_of(static_cast<std::uint64_t>(GetParam()));
   const Verdict v = World(plan).run();
   for (const auto& b : v.broken) ADD_FAILURE() << b;
   EXPECT_GT(v.started, 20U);
   EXPECT_GT(v.accepted, 20U);
   EXPECT_GT(v.finished, 5U);
   EXPECT_GT(v.elections, 0U);
+  EXPECT_EQ(v.chained > 5U, plan.chains);
   // When the troubles are over, what was accepted gets done.
   EXPECT_EQ(v.unfinished, 0U) << "of " << v.accepted << " jobs, seed " << plan.seed;
 }
@@ -41,6 +40,41 @@
   }
 }
 
+// Without other troubles, an upgrade costs as many elections as leaders were ended for it, and the smaller
+// limits are kept to by whoever knows of them (the world calls anything beyond them a broken rule).
+TEST(World, AnUpgradeIsQuiet) {
+  spdlog::set_level(spdlog::level::off);
+  std::size_t orphans = 0;
+  for (const std::uint64_t seed : {3U, 9U, 15U}) {
+    Plan plan = plan_of(seed);
+    plan.fault_every_s = 0;
+    const Verdict v = World(plan).run();
+    for (const auto& b : v.broken) ADD_FAILURE() << b;
+    EXPECT_EQ(v.unfinished, 0U) << seed;
+    EXPECT_LE(v.elections, 4U) << seed;
+    EXPECT_EQ(v.over_limits, 0U) << seed;
+    orphans += v.orphans;
+  }
+  EXPECT_GT(orphans, 5U);
+}
+
+// Limits that nobody announced: what the state service refuses goes in smaller parts, and nothing stops.
+TEST(World, LimitsBelowThoseOfTheSettingsAreFoundOut) {
+  spdlog::set_level(spdlog::level::off);
+  std::size_t over = 0;
+  for (const std::uint64_t seed : {3U, 9U, 21U}) {
+    Plan plan = plan_of(seed);
+    plan.undeclared = 0.4;
+    plan.machines = 12;
+    plan.fault_every_s = 40;
+    const Verdict v = World(plan).run();
+    for (const auto& b : v.broken) ADD_FAILURE() << b;
+    EXPECT_EQ(v.unfinished, 0U) << seed;
+    over += v.over_limits;
+  }
+  EXPECT_GT(over, 3U);
+}
+
 // Jobs that fail everywhere once took a longer job's machine every minute, in the name of their team's
 // guarantee.
 TEST(World, AFaultyJobStopsNobodysWork) {
