--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -570,7 +570,7 @@
   for (agents::Slot& s : m.slots) {
     const jobs::Job* job = registry_.at(s.job);
     if (!job || !job->service() || s.phase != agents::Slot::Phase::running || s.stop) continue;
-    if (!scheduler_.could_move(*job)) continue;
+    if (!scheduler_.could_move(*job, m)) continue;
     return agents_.stop(m, s, 0);
   }
 }
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -186,17 +186,20 @@
   return (job.spec.tasks - job.done) * job.spec.need.cpus * std::max(1.0, estimate(job));
 }
 
-bool Scheduler::could_move(const Job& job) {
+bool Scheduler::could_move(const Job& job, const Machine& from) {
   for (const Index::Pool& p : agents_.index().pools()) {
     if (p.short_only || !allowed(job, p.type, p.zone, p.spot)) continue;
-    const std::uint32_t here = p.zone < job.in_zone.size() ? job.in_zone[p.zone] : 0;
+    // The task that moves no longer counts in its zone. With it, a service spread evenly over two zones could
+    // move to neither, and the first machine to be emptied of it kept all others waiting to the end.
+    const std::uint32_t here =
+        (p.zone < job.in_zone.size() ? job.in_zone[p.zone] : 0) - (p.zone == from.zone ? 1 : 0);
     if (job.spec.spread && here + 1 > (job.spec.tasks + 1) / 2) continue;
     const Index::Group* cached = p.with(job.image);
     if (!cached) continue;
     auto it = cached->room.lower_bound({job.spec.need.cpus - kEps, 0});
     for (int n = 0; it != cached->room.end() && n < settings_.tunables.steal_sample; ++it, ++n) {
       const Machine& m = agents_.at(it->second);
-      if (agents_.may_start(m) && m.fits(job.spec.need)) return true;
+      if (m.ix != from.ix && agents_.may_start(m) && m.fits(job.spec.need)) return true;
     }
   }
   return false;
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -45,8 +45,8 @@
   // The part of its waiting tasks for which the job needs room of its own to be in time.
   double pressing(const Job& job, Seconds boot_s) const;
   void offered(const Job& job);  // it is new to the service
-  // Whether a machine with the job's image has room for one more of its tasks.
-  bool could_move(const Job& job);
+  // Whether another machine with the job's image could take a task over from this one.
+  bool could_move(const Job& job, const Machine& from);
   bool allowed(const Machine& m, const Job& job) const;
   bool allowed(const Job& job, Ix type, Ix zone, bool spot) const;
   // Jobs with tasks that wait for a machine.
