--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -514,7 +514,12 @@
   const double keep_total = services + std::max(smooth_flexible_, d.flexible) * (1 + headroom);
   double excess = ordinary + spot - keep_total, excess_ordinary = ordinary - keep_ordinary;
   const Seconds now = out_.now();
-  bool replicas_move = false;
+  // A move costs a replica a moment, so only some move at a time; but of a thousand more than of ten, or a
+  // fleet that has become too large stays so for an hour.
+  int moves =
+      std::max(1, static_cast<int>(settings_.tunables.replica_moves * static_cast<double>(d.replicas)));
+  const int most_moving = 2 * moves;
+  int moving = 0;
   for (const Ix ix : draining_) {
     Machine& m = agents_.at(ix);
     if (m.gone || !m.draining || m.returning) continue;
@@ -525,8 +530,8 @@
       agents_.changed(m);
       excess += m.cpus;
     } else {
-      replicas_move |= !m.spot;
-      move_replica(m);
+      moving += replicas(m);
+      while (moves > 0 && move_replica(m)) --moves;
     }
   }
   if (excess <= 0) {
@@ -550,12 +555,9 @@
       give_back({m->ix}, "idle");
     } else {
       if (!lasting) continue;
-      const bool service = std::any_of(m->slots.begin(), m->slots.end(), [this](const agents::Slot& s) {
-        const jobs::Job* job = registry_.at(s.job);
-        return s.counted && (!job || job->service());
-      });
-      if (service && replicas_move) continue;  // one machine's replicas at a time
-      replicas_move |= service;
+      const int n = replicas(*m);
+      if (n > 0 && moving > 0 && moving + n > most_moving) continue;
+      moving += n;
       m->draining = true;
       agents_.changed(*m);
       spdlog::info("draining {}", m->host);
@@ -565,14 +567,24 @@
   }
 }
 
+// Replicas on the machine, and tasks that may be some.
+int Fleet::replicas(const Machine& m) {
+  return static_cast<int>(std::count_if(m.slots.begin(), m.slots.end(), [this](const agents::Slot& s) {
+    const jobs::Job* job = registry_.at(s.job);
+    return s.counted && (!job || job->service());
+  }));
+}
+
 // Stops one replica on a machine being drained if another machine could take it over without a fetch.
-void Fleet::move_replica(Machine& m) {
+bool Fleet::move_replica(Machine& m) {
   for (agents::Slot& s : m.slots) {
     const jobs::Job* job = registry_.at(s.job);
     if (!job || !job->service() || s.phase != agents::Slot::Phase::running || s.stop) continue;
     if (!scheduler_.could_move(*job, m)) continue;
-    return agents_.stop(m, s, 0);
+    agents_.stop(m, s, 0);
+    return true;
   }
+  return false;
 }
 
 }  // namespace wingtrail::fleet
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -76,7 +76,8 @@
   void send_returns();
   void watch_health();
   void shed();
-  void move_replica(Machine& m);
+  bool move_replica(Machine& m);  // false: none can move now
+  int replicas(const Machine& m);
   double price(const Pool& pool) const;
   double cores(bool spot) const;
   std::vector<std::vector<Pool>> pools(bool spot) const;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -807,6 +807,7 @@
     if (!job.open() || (job.held() && job.placed == 0)) return;
     const double per = job.spec.need.cpus;
     const double placed = per * job.placed;
+    if (job.service()) d.replicas += job.placed;
     double wait = job.held() ? 0 : per * static_cast<double>(job.pending.size());
     // What its team's limit holds back needs no machine, and neither does a job that fails wherever it runs.
     wait = out_.now() < job.not_before ? 0 : std::min(wait, left[job.team]);
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -40,6 +40,7 @@
   // ordinary machines, and for work that may use spot machines. `waiting` is all that waits.
   struct Demand {
     double ordinary = 0, flexible = 0, waiting_ordinary = 0, waiting_flexible = 0;
+    std::size_t replicas = 0;  // that are placed
   };
   Demand demand(Seconds boot_s);
   // The part of its waiting tasks for which the job needs room of its own to be in time.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -214,6 +214,7 @@
     {"short_partition", &Tunables::short_partition, nullptr, 0, 0.9},
     {"silent_reports", &Tunables::silent_reports, nullptr, 1.5, 20},
     {"idle_return_s", &Tunables::idle_return_s, nullptr, 1, kDay},
+    {"replica_moves", &Tunables::replica_moves, nullptr, 0, 1},
     {"headroom", &Tunables::headroom, nullptr, 0, 5},
     {"progress_flush_s", &Tunables::progress_flush_s, nullptr, 0.1, 60},
 };
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -38,6 +38,7 @@
   double short_partition = 0.10;       // Hawk: share of machines that refuse long tasks
   double silent_reports = 1.7;         // report intervals without a report until a machine is suspected
   double idle_return_s = 60.0;         // idle time after which a machine may be returned
+  double replica_moves = 0.005;        // of all replicas, how many may move in a second to empty machines
   double headroom = 0.15;              // spare capacity, as a share of the load
   double progress_flush_s = 1.0;       // how often completed tasks are persisted
 };
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -32,6 +32,8 @@
   // The state service lowers its limits at some moment; nodes that were not restarted since the beginning do
   // not know that, and write under the limits, and so in the layout, of before.
   bool upgrade = false;
+  // Only so many services of four replicas, spread over both zones, and nothing else; most of them are soon cancelled.
+  int services = 0;
   double undeclared = 1;  // the share of the limits in the settings that the state service really grants
   // A fault planted on purpose, to show that a check can fail. See docs/safety.md.
   std::string sabotage;
@@ -150,6 +152,7 @@
 
   // users
   void submit_some();
+  void submit_service();
   void submit(UserJob& job, double since);
   void poll(UserJob& job);
   void abort(UserJob& job);
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -75,6 +75,25 @@
   EXPECT_GT(over, 3U);
 }
 
+// Services spread evenly over both zones once could move to neither, and one machine waiting to be emptied of
+// them kept all the others: the fleet stayed as large as it had ever been.
+TEST(World, AFleetThatIsTooLargeShrinksToWhatItsServicesNeed) {
+  spdlog::set_level(spdlog::level::off);
+  Plan plan;
+  plan.fault_every_s = 0;
+  plan.limits = false;
+  plan.machines = 24;
+  plan.services = 36;  // eight cores each
+  World world(plan);
+  world.begin();
+  world.step(400);
+  const auto stats = world.leader_stats();
+  ASSERT_TRUE(stats);
+  EXPECT_TRUE(world.verdict().broken.empty());
+  EXPECT_EQ(stats->live_jobs, 9U);
+  EXPECT_LE(stats->machines, 9U);
+}
+
 // Jobs that fail everywhere once took a longer job's machine every minute, in the name of their team's
 // guarantee.
 TEST(World, AFaultyJobStopsNobodysWork) {
