--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -547,11 +547,13 @@
   std::stable_sort(order.begin(), order.end(), [](const Machine* a, const Machine* b) {
     return a->used.cpus / std::max(1.0, a->cpus) < b->used.cpus / std::max(1.0, b->cpus);
   });
+  // A machine is worth keeping idle for as long as another one would boot for nothing.
+  const Seconds patience = std::min(settings_.tunables.idle_return_s, boot_s());
   const bool lasting = now - excess_since_ > settings_.tunables.idle_return_s;
   for (Machine* m : order) {
     if (m->cpus > excess || (!m->spot && m->cpus > excess_ordinary)) continue;
     if (!busy(*m)) {
-      if (m->idle_since == 0 || now - m->idle_since < settings_.tunables.idle_return_s) continue;
+      if (m->idle_since == 0 || now - m->idle_since < patience) continue;
       give_back({m->ix}, "idle");
     } else {
       if (!lasting) continue;
