--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Shows that the simulated cluster's checks can fail: breaks one guard at a time in a copy of the sources, and
-# demands that world_hunt notices within a number of seeds. Usage: tests/mutants.sh [SEEDS [PATTERN]]
+# Shows that the checks can fail: breaks one guard at a time in a copy of the sources, and demands that the unit
+# tests notice, or world_hunt within a number of seeds. Usage: tests/mutants.sh [SEEDS [PATTERN]]
 # PATTERN limits the run to mutants whose name matches it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -24,7 +24,13 @@
     missed=$((missed + 1))
     return
   fi
-  cmake --build "$work/build" --target world_hunt -j"$(nproc)" >"$work/build.log" 2>&1 || { echo "$1: does not build"; missed=$((missed + 1)); cp "$work/pristine/$2" "$file"; return; }
+  cmake --build "$work/build" --target world_hunt unit_tests -j"$(nproc)" >"$work/build.log" 2>&1 || { echo "$1: does not build"; missed=$((missed + 1)); cp "$work/pristine/$2" "$file"; return; }
+  if ! "$work/build/unit_tests" --gtest_filter='-Http*' >"$work/unit.log" 2>&1; then
+    echo "$1: caught by $(grep -c '^\[  FAILED  \].*(' "$work/unit.log") unit tests"
+    caught=$((caught + 1))
+    cp "$work/pristine/$2" "$file"
+    return
+  fi
   local pids=() part=$((seeds / 6 + 1)) result=
   for i in 0 1 2 3 4 5; do
     "$work/build/world_hunt" $((1 + i * part)) "$part" >"$work/out.$i" 2>&1 &
@@ -61,5 +67,20 @@
 mutant "cancelled tasks are left alone" daemon/node.cpp 's/agents_\.cancel\(job\);//'
 mutant "older reports are taken for new" agents/agents.cpp 's/if \(m\.reporting && std::pair\(r\.session, r\.seq\) <= std::pair\(m\.session, m\.seq\)\)/if (m.reporting \&\& r.session < m.session)/'
 mutant "names of rental requests are used again" fleet/fleet.cpp 's/"r-" \+ std::to_string\(link_\.token\(\)\) \+ "-" \+/"r-" +/'
+mutant "absent is taken for done" jobs/chains.cpp 's/if \(!known && !needed\) unknown_\.push_back\(ref\);/if (!known \&\& !needed) continue;/'
+mutant "one need is enough" jobs/chains.cpp 's/if \(!job->held\(\) && job->open\(\)\) ready_/if (job->unmet = 0; job->open()) ready_/'
+mutant "needs are forgotten at a take-over" daemon/leading.cpp 's/for \(jobs::Job\* job : all\) chains_\.join\(\*job\);//'
+mutant "a cancellation ends with the job itself" jobs/chains.cpp 's/orphans_\.push_back\(job->ix\);//'
+mutant "only those that need it directly" jobs/chains.cpp 's/open\.insert\(open\.end\(\), nodes_\[n\]\.needed_by\.begin\(\), nodes_\[n\]\.needed_by\.end\(\)\);//'
+mutant "a job that names a cancelled one waits" jobs/chains.cpp 's/lost \|= !end->done;//'
+mutant "a followed need is met before it is committed" daemon/leading.cpp 's/ledger_\.close\(job, wire::Phase::done, \{\}\);/ledger_.close(job, wire::Phase::done, {}); chains_.ended(job.spec.ref, {true, out_.now()});/; s/job\.done < job\.spec\.tasks\) return/job.done + 1 < job.spec.tasks) return/'
+mutant "what was never accepted may be named" daemon/admission.cpp 's/if \(!has\(jobs::kLive \+ ref\) && !has\(jobs::kFinal \+ ref\)\)/if (ref.empty())/'
+mutant "waiting jobs are placed" jobs/registry.hpp 's/return unmet > 0 \|\| orphan;/return false;/'
+mutant "the limits of today alone" settings/settings.cpp 's/l\.value = std::min\(l\.value, next\.number\(l\.key, l\.lowest, 1e6, l\.value\)\);/next.number(l.key, l.lowest, 1e6, l.value);/'
+mutant "a divided page leaves its entries before they are elsewhere" jobs/pages.hpp 's/bool may_be_written\(std::size_t n\) const \{ return pages_\[n\]\.behind\.empty\(\); \}/bool may_be_written(std::size_t) const { return true; }/'
+mutant "the first chunk of a record only" jobs/ledger.cpp 's/c <= last; \+\+c\)/c <= first; ++c)/'
+mutant "too large a page stays whole" jobs/ledger.cpp 's/pages\[n\]\.bytes > limit && pages\.divide\(n, limit, out_\.now\(\)\)/false/'
+mutant "a cancellation mark decides" daemon/admission.cpp 's/txn\.require\(jobs::kLive \+ ref, live\["version"\]\.get<std::uint64_t>\(\)\);//'
+mutant "time proves that a start never came" agents/machine.hpp 's/phase == Phase::ordered && !unproven &&/phase == Phase::ordered \&\&/'
 echo "$caught passed, $missed failed"
 ((missed == 0))
