--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -624,12 +624,17 @@
 
 // A team below its guarantee gets it from those that run beyond theirs.
 void Scheduler::reclaim_guarantees() {
-  constexpr Seconds kPatience = 3;  // tasks end all the time; stopping one throws its work away
+  // Tasks end all the time, and what comes free goes to those within their guarantee first; stopping one
+  // throws its work away. So a job that can spare the time waits for a part of it.
+  constexpr Seconds kPatience = 3;
+  constexpr double kPart = 0.1;
   // Jobs of teams beyond their guarantee, the one that comes last first.
   std::optional<std::vector<Job*>> victims;
   for (const Ix ix : std::vector<Ix>(waiting_)) {
     Job* job = registry_.at(ix);
     if (!job || !under_guarantee(*job) || !startable(*job) || out_.now() - job->since < kPatience) continue;
+    const Seconds spare = due(*job, 0) - job->since - estimate(*job);
+    if (!job->service() && out_.now() - job->since < kPart * spare) continue;
     if (fails_everywhere(*job)) continue;
     if (settings_.teams[job->team].cpus <= 0 && settings_.teams[job->team].gpus <= 0) continue;
     if (!victims) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -123,8 +123,7 @@
 
 void World::begin() {
   for (std::size_t i = 0; i < kNodes; ++i) at(between(0, 0.2), [this, i] { boot(i); });
-  if (plan_.services == 0) at(1, [this] { submit_some(); });
-  for (int i = 0; i < plan_.services; ++i) at(1 + 0.1 * i, [this] { submit_service(); });
+  if (!plan_.script) at(1, [this] { submit_some(); });
   if (plan_.fault_every_s > 0) at(plan_.fault_every_s, [this] { trouble(); });
   at(0, [this] { keep_listing(); });
   if (!plan_.upgrade) return;
@@ -1046,30 +1045,28 @@
   });
 }
 
-void World::submit_service() {
+void World::user(const wire::JobSpec& spec, double run_s, double cancel_at) {
   auto job = std::make_unique<UserJob>();
-  job->spec.ref = "req-" + std::to_string(1000 + ++jobs_made_);
-  job->spec.job_class = "web";
-  job->spec.team = "red";
-  job->spec.image = "img-0";
-  job->spec.image_gb = 0.5;
-  job->spec.need = {2, 0, 2};
-  job->spec.shape = wire::Shape::service;
-  job->spec.priority = wire::Priority::production;
-  job->spec.tasks = 4;
-  job->spec.spread = true;
-  job->body = wire::job_value(job->spec);
+  job->spec = spec;
+  job->run_s = run_s;
+  job->body = wire::job_value(spec);
   job->submitted = true;
   UserJob& j = *job;
-  jobs_[j.spec.ref] = std::move(job);
+  for (const std::string& ref : spec.waits_on) {
+    j.needs.push_back(jobs_.at(ref).get());
+    jobs_.at(ref)->needed_by.push_back(&j);
+  }
+  jobs_[spec.ref] = std::move(job);
   submit(j, t_);
-  if (jobs_made_ % 4 == 0) return;
-  at(100, [this, &j] {
+  if (cancel_at < 0) return;
+  at(cancel_at, [this, &j] {
     j.want_abort = true;
     abort(j);
   });
 }
 
+bool World::over(const std::string& ref) const { return jobs_.at(ref)->over(); }
+
 void World::submit_some() {
   if (t_ > plan_.duration_s) return;
   auto job = std::make_unique<UserJob>();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -32,8 +32,7 @@
   // The state service lowers its limits at some moment; nodes that were not restarted since the beginning do
   // not know that, and write under the limits, and so in the layout, of before.
   bool upgrade = false;
-  // Only so many services of four replicas, spread over both zones, and nothing else; most of them are soon cancelled.
-  int services = 0;
+  bool script = false;    // users submit only what `user` is told
   double undeclared = 1;  // the share of the limits in the settings that the state service really grants
   // A fault planted on purpose, to show that a check can fail. See docs/safety.md.
   std::string sabotage;
@@ -68,6 +67,9 @@
   void step(double until);  // plays what is due by then
   double next() const { return events_.empty() ? t_ + 1 : events_.begin()->first; }
   const Verdict& close();  // counts what is left undone
+  // A user submits the job now, and cancels it at that time if there is one.
+  void user(const wire::JobSpec& spec, double run_s, double cancel_at = -1);
+  bool over(const std::string& ref) const;  // all its tasks have completed
   const Verdict& verdict() const { return verdict_; }
   // What the leader counted; nothing if nobody leads.
   std::optional<daemon::Stats> leader_stats() const;
@@ -152,7 +154,6 @@
 
   // users
   void submit_some();
-  void submit_service();
   void submit(UserJob& job, double since);
   void poll(UserJob& job);
   void abort(UserJob& job);
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -75,6 +75,50 @@
   EXPECT_GT(over, 3U);
 }
 
+wire::JobSpec job_of(int n, std::uint32_t tasks, const std::string& team) {
+  wire::JobSpec s;
+  s.ref = "req-" + std::to_string(n);
+  s.job_class = "batch";
+  s.team = team;
+  s.image = "img-0";
+  s.image_gb = 0.2;
+  s.need = {2, 0, 2};
+  s.tasks = tasks;
+  s.spot = true;
+  return s;
+}
+
+// A team's guarantee is taken back at the cost of others' work only for what cannot wait for tasks to end.
+TEST(World, OnlyWhatIsPressedTakesAGuaranteeBack) {
+  spdlog::set_level(spdlog::level::off);
+  const auto reclaimed = [](double due) {
+    Plan plan;
+    plan.fault_every_s = 0;
+    plan.limits = false;
+    plan.machines = 4;
+    plan.most_machines = 4;
+    plan.script = true;
+    World world(plan);
+    world.begin();
+    world.step(10);
+    wire::JobSpec red = job_of(1, 100, "red");  // far beyond its guarantee, on all machines
+    red.estimate_s = 30;
+    world.user(red, 30);
+    world.step(40);
+    wire::JobSpec blue = job_of(2, 4, "blue");
+    blue.estimate_s = 10;
+    blue.deadline_s = due;
+    world.user(blue, 10);
+    world.step(400);
+    EXPECT_TRUE(world.over("req-2"));
+    EXPECT_TRUE(world.verdict().broken.empty());
+    const auto stats = world.leader_stats();
+    return stats ? stats->reclaimed : 999;
+  };
+  EXPECT_EQ(reclaimed(600), 0U);
+  EXPECT_GT(reclaimed(20), 0U);
+}
+
 // Services spread evenly over both zones once could move to neither, and one machine waiting to be emptied of
 // them kept all the others: the fleet stayed as large as it had ever been.
 TEST(World, AFleetThatIsTooLargeShrinksToWhatItsServicesNeed) {
@@ -83,9 +127,18 @@
   plan.fault_every_s = 0;
   plan.limits = false;
   plan.machines = 24;
-  plan.services = 36;  // eight cores each
+  plan.script = true;
   World world(plan);
   world.begin();
+  world.step(5);
+  wire::JobSpec s = job_of(0, 4, "red");
+  s.shape = wire::Shape::service;
+  s.priority = wire::Priority::production;
+  s.spread = true;
+  for (int i = 1; i <= 36; ++i) {  // eight cores each; most are soon cancelled
+    s.ref = "req-" + std::to_string(i);
+    world.user(s, 0, i % 4 == 0 ? -1 : 100);
+  }
   world.step(400);
   const auto stats = world.leader_stats();
   ASSERT_TRUE(stats);
