--- /dev/null
+++ b/tests/upgrade.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Builds the version in production (deploy/service.toml) from the history and runs it beside the present one over real
+# sockets: an upgrade of three processes, with troubles. Usage: tests/upgrade.sh BUILD_FOLDER [SEEDS [SECONDS]]
+set -euo pipefail
+build=$(realpath "${1:?the folder that holds cluster and wingtrail}")
+cd "$(dirname "$0")/.."
+commit=$(sed -n 's/^production = "\(.*\)"$/\1/p' deploy/service.toml)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+git archive "$commit" | tar -x -C "$work"
+cmake -S "$work" -B "$work/build" -DCMAKE_BUILD_TYPE=Release -DWINGTRAIL_TESTS=OFF >/dev/null
+cmake --build "$work/build" -j"$(nproc)" >/dev/null
+failed=0
+for ((seed = 1; seed <= ${2:-3}; ++seed)); do
+  "$build/cluster" --program "$build/wingtrail" --former "$work/build/wingtrail" --seed "$seed" \
+    --seconds "${3:-180}" --troubles 12 || failed=$((failed + 1))
+done
+echo "$((${2:-3} - failed)) passed, $failed failed"
+((failed == 0))
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -74,6 +74,9 @@
   // What the leader counted; nothing if nobody leads.
   std::optional<daemon::Stats> leader_stats() const;
   const settings::Settings& settings() const { return settings_; }
+  // What held before the upgrade, and whether the node has not had it yet.
+  const settings::Settings& former_settings() const { return former_; }
+  bool former(std::size_t node) const;
   void state(std::size_t node, const std::string& method, const std::string& path, const Value& body,
              Reply reply);
   void cloud(const std::string& method, const std::string& path, const Value& body, Reply reply);
@@ -193,6 +196,7 @@
   double state_level_ = 0, write_level_ = 0, state_at_ = 0;
   settings::Settings former_;  // what nodes that were not restarted yet go by
   bool lowered_ = false;
+  double chains_from_ = 0;  // a version that does not know them must not meet any
 
   std::map<std::string, std::unique_ptr<Host>> hosts_;
   std::map<std::string, Value> hires_;
