--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -824,9 +824,8 @@
     (on_spot ? placed_flexible : d.ordinary) += placed;
   });
   // Machines must keep up with what comes, too, while what waits is worked off: after a start, or when
-  // machines were lost, little is placed yet. When nothing waits, all that has come is placed.
-  const double offered = offered_ * std::exp(-(out_.now() - offered_at_) / kOfferedOver);
-  d.flexible += d.waiting_flexible > 0 ? std::max(placed_flexible, offered) : placed_flexible;
+  // machines were lost, little is placed yet.
+  d.flexible += std::max(placed_flexible, offered_ * std::exp(-(out_.now() - offered_at_) / kOfferedOver));
   return d;
 }
 
