--- a/tests/chains_test.cpp
+++ b/tests/chains_test.cpp
@@ -42,8 +42,9 @@
     over[ref(n)] = {done, at};
     chains.ended(ref(n), {done, at});
   }
-  std::vector<std::string> names(std::vector<Ix> jobs) {
+  std::vector<std::string> names(const std::vector<Ix>& jobs) {
     std::vector<std::string> out;
+    out.reserve(jobs.size());
     for (const Ix ix : jobs) out.push_back(registry.at(ix)->spec.ref);
     std::sort(out.begin(), out.end());
     return out;
