--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -979,6 +979,16 @@
   // A walk over all machines after each step would be most of a large world's time; what it looks for lasts.
   if (plan_.machines > 100 && t_ < checked_at_ + 0.5) return;
   checked_at_ = t_;
+  // What waits for others takes nothing: neither room nor a part of its team's limit.
+  for (auto& c : ctls_) {
+    if (!c->node || !c->node->entitled() || !plan_.chains) continue;
+    c->node->registry().each([this](const jobs::Job& job) {
+      const UserJob& real = *jobs_.at(job.spec.ref);
+      const bool waits =
+          std::any_of(real.needs.begin(), real.needs.end(), [](const UserJob* n) { return !n->over(); });
+      if (waits && job.placed > 0) broke("waiting_placed", job.spec.ref);
+    });
+  }
   for (auto& [name, h] : hosts_) {
     if (h->gone || h->dead || (t_ - h->lease_from) * h->rate > kLease) continue;
     for (const TaskOn& x : h->tasks) {
