--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -13,6 +13,7 @@
 constexpr Seconds kProbeTimeout = 1.0;
 constexpr Seconds kResend = 1.0;
 constexpr Seconds kAlarm = 3.0;
+constexpr Seconds kAskCut = 0.25;
 constexpr Seconds kAlarmSilence = 1.0;
 constexpr double kAboutToReport = 0.6;  // of the report interval
 constexpr double kLateReport = 1.3;     // reports are up to a quarter late
@@ -31,7 +32,8 @@
       registry_(registry),
       ledger_(ledger),
       link_(std::move(link)),
-      events_(std::move(events)) {
+      events_(std::move(events)),
+      links_(settings.report_s) {
   team_use_.resize(settings.teams.size());
 }
 
@@ -44,6 +46,7 @@
   cleared_after_ = 0;
   // Whatever an earlier leader granted was granted before this moment.
   fence_until_ = lease_end();
+  links_.begin(out_.now());
 }
 
 Seconds Agents::lease_end() const { return out_.now() + settings_.lease_s * (1 + kDrift) + kMargin; }
@@ -54,6 +57,7 @@
   machines_.clear();
   live_.clear();
   silent_.clear();
+  ask_at_.clear();
   by_host_.clear();
   index_.clear();
   stale_.clear();
@@ -61,7 +65,7 @@
   tokens_due_.clear();
   due_ = {};
   doubts_.clear();
-  in_doubt_ = unsized_ = calls_ = 0;
+  in_doubt_ = unsized_ = unknown_ = calls_ = 0;
   doubt_sum_ = {};
   team_use_.assign(settings_.teams.size(), {});
 }
@@ -142,6 +146,7 @@
   }
   m.lease_until = fence_until_;
   m.last_contact = out_.now();
+  expect(m);
   account(m);
   want(m);
   look_again(m, fence_until_);
@@ -166,7 +171,7 @@
 bool Agents::may_start(const Machine& m) const {
   return !m.gone && !m.returning && !m.draining && m.reporting && m.enlisted && m.settled && m.unknown == 0 &&
          m.health == Health::good && out_.now() >= m.doubt_until && !m.reclaim_at && m.cpus > 0 &&
-         !m.unreachable && silence(m) < silent_s();
+         !m.unreachable && silence(m) < silent_s() && !links_.quiet(m.zone, out_.now());
 }
 
 void Agents::changed(Machine& m) {
@@ -192,7 +197,7 @@
 
 // ---------------------------------------------------------------- what workers say
 
-std::optional<wire::Value> Agents::report(const wire::Report& r) {
+std::optional<wire::Value> Agents::report(const wire::Report& r, bool may_order) {
   if (!active_) return std::nullopt;
   if (r.token > link_.token()) {
     events_.superseded();
@@ -212,6 +217,7 @@
   if (!active_) return std::nullopt;
   m.lease_until = lease_end();
   enlist(m);
+  if (m.unreachable) look_again(m, out_.now());
   // Push the token of a new leadership at once: until then an earlier leader's orders could still take
   // effect. One that just had an answer with it is given the time to say so in its next report.
   if (!m.settled) {
@@ -220,7 +226,7 @@
   } else if (fresh && r.token < link_.token()) {
     look_again(m, out_.now() + kResend);
   }
-  if (!m.settled || !m.enlisted) return wire::report_answer(link_.token(), {});
+  if (!m.settled || !m.enlisted || !may_order) return wire::report_answer(link_.token(), {});
   prune(m);
   return wire::report_answer(link_.token(), orders(m, false));
 }
@@ -238,6 +244,9 @@
   m.seq = r.seq;
   m.last_contact = out_.now();
   m.failures = 0;
+  m.unanswered_since = ports::kNever;
+  if (links_.heard(m.zone, out_.now())) ask_again(m.zone);
+  expect(m);
   m.reclaim_at = r.reclaim_in_s ? std::optional<Seconds>(out_.now() + *r.reclaim_in_s) : std::nullopt;
   silent_.erase(m.ix);
   if (!was_up) look_again(m, out_.now() + kLateReport * settings_.report_s);
@@ -319,6 +328,13 @@
     registry_.place(*job, t.index, m.ix, m.zone);
     add(m.used, s.need, 1);
     add(team_use_[job->team], s.need, 1);
+    // Found only now, of a job whose cancellation is under way.
+    if (job->aborting) {
+      add(m.used, s.need, -1);
+      s.stop = true;
+      m.news = true;
+      want(m);
+    }
     m.slots.push_back(std::move(s));
     return update(m, m.slots.back(), t);
   }
@@ -326,6 +342,7 @@
   if (s.counted) {
     s.stop = true;
     ++m.unknown;
+    ++unknown_;
     if (over) spdlog::info("{} holds {} of a job that is over: stopping it", m.host, s.name);
     account(m);
     m.news = true;
@@ -377,6 +394,7 @@
   changed(m);
   if (s.job == kNone) {
     --m.unknown;
+    --unknown_;
     account(m);
     return;
   }
@@ -401,17 +419,39 @@
   for (std::size_t i = m.slots.size(); i-- > 0;) drop_slot(m, i);
   m.reporting = false;
   m.idle_since = out_.now();
+  expect(m);
   changed(m);
 }
 
 void Agents::settle(Machine& m) {
   if (m.settled) return;
   m.settled = true;
+  expect(m);
   account(m);
   changed(m);
   if (m.reporting && m.enlisted) events_.up(m);
 }
 
+// Machines that are up, or were when an earlier leader last said so, report; those that boot do not yet.
+void Agents::expect(Machine& m) {
+  const bool expected = !m.gone && (m.reporting || !m.settled);
+  if (expected == m.expected) return;
+  m.expected = expected;
+  links_.expected(m.zone, expected ? 1 : -1);
+}
+
+// The zone is within reach again: all of it is asked at once what lives, instead of waiting for its reports.
+void Agents::ask_again(Ix zone) {
+  spdlog::info("{} is within reach again", registry_.zones[zone]);
+  for (const Ix ix : live_) {
+    Machine& m = machines_[ix];
+    if (m.zone != zone || !m.expected) continue;
+    m.retry_at = out_.now();
+    look_again(m, out_.now());
+    if (!m.settled) want(m);
+  }
+}
+
 Agents::Doubt& Agents::doubt(const Machine& m) {
   for (Doubt& d : doubts_) {
     if (d.type == m.type && d.zone == m.zone && d.spot == m.spot) return d;
@@ -465,6 +505,7 @@
   end_session(m);
   m.gone = true;
   m.settled = true;
+  expect(m);
   account(m);
   silent_.erase(m.ix);
   const auto it = std::lower_bound(live_.begin(), live_.end(), m.ix);
@@ -545,14 +586,30 @@
   const Seconds now = out_.now();
   if (m.gone) return;
   if (now >= m.lease_until && (m.reporting || !m.settled)) {
-    // Nobody can have renewed the worker's lease since, so it has killed everything it had.
-    if (m.reporting) spdlog::warn("{}: its lease has run out", m.host);
-    end_session(m);
-    m.settled = true;
-    account(m);
+    // A peer may have renewed it in custody; only its word, or the end of what it was granted, rules that out.
+    if (now >= link_.lease_end(m.lease_until)) {
+      // Nobody can have renewed the worker's lease since, so it has killed everything it had.
+      if (m.reporting) spdlog::warn("{}: its lease has run out", m.host);
+      end_session(m);
+      m.settled = true;
+      expect(m);
+      account(m);
+    } else {
+      look_again(m, now + kResend);
+    }
   }
   changed(m);
-  if (m.reporting || !m.settled) look_again(m, m.lease_until);
+  if ((m.reporting || !m.settled) && now < m.lease_until) look_again(m, m.lease_until);
+  // Of a zone out of reach one machine now and then is asked; when it answers, all are (ask_again).
+  if ((m.reporting || !m.settled) && links_.cut(m.zone, now)) {
+    if (ask_at_.size() <= m.zone) ask_at_.resize(m.zone + 1);
+    if (now >= ask_at_[m.zone] && !m.in_flight && !m.addr.empty() && calls_ < call_limit()) {
+      ask_at_[m.zone] = now + kAskCut;
+      send_direct(m, {}, {}, kProbeTimeout);
+    }
+    if (silence(m) > silent_s()) silent_.insert(m.ix);
+    return look_again(m, now + kResend);
+  }
   if (m.doubt_until > now) look_again(m, m.doubt_until);
   if (wants_orders(m)) {
     if (!m.in_flight && now >= m.pushed_at + kResend) {
@@ -566,11 +623,17 @@
   const bool amid =
       now < alarm_until_ && m.reporting &&
       (m.failures >= 2 || (m.failures == 1 && silence(m) > kAboutToReport * settings_.report_s));
-  if ((amid || silence(m) > silent_s()) && (m.reporting || !m.settled)) silent_.insert(m.ix);
+  // After a take-over the others have answered within a moment; one that does not answer two calls is lost.
+  const bool missing = !m.settled && m.failures >= 2;
+  if ((amid || missing || silence(m) > silent_s()) && (m.reporting || !m.settled)) silent_.insert(m.ix);
   if (!m.settled && silence(m) <= silent_s()) look_again(m, m.last_contact + silent_s() + kSoonest);
   if (!m.reporting) return;
   const Seconds late = now < alarm_until_ ? kAlarmSilence : kLateReport * settings_.report_s;
-  if (silence(m) <= late) return look_again(m, m.last_contact + late + kSoonest);
+  // It reports, but was not there when it was last called: without another call it would never get orders again.
+  const bool back = m.unreachable && silence(m) <= late;
+  if (back && !m.in_flight && now >= m.retry_at && !m.addr.empty() && calls_ < call_limit())
+    send_direct(m, {}, {}, kProbeTimeout);
+  if (silence(m) <= late) return look_again(m, back ? now + kResend : m.last_contact + late + kSoonest);
   // Ask a machine that should have reported by now; the answer to an empty list of orders is its report.
   if (!m.in_flight && (now >= m.retry_at || now < alarm_until_) && !m.addr.empty() && calls_ < call_limit()) {
     send_direct(m, {}, {}, kProbeTimeout);
--- a/src/agents/agents.hpp
+++ b/src/agents/agents.hpp
@@ -12,6 +12,7 @@
 
 #include "agents/index.hpp"
 #include "agents/machine.hpp"
+#include "health/links.hpp"
 #include "jobs/ledger.hpp"
 #include "jobs/registry.hpp"
 #include "ports/outbox.hpp"
@@ -32,6 +33,8 @@
   struct Link {
     std::function<std::uint64_t()> token;
     std::function<Seconds()> authority_until;
+    // When a lease is over that this node renewed so that it ends at the time given: others may have renewed it.
+    std::function<Seconds(Seconds)> lease_end;
   };
   // Machines that may hold tasks this leader does not know of: not settled, or with unknown tasks.
   struct Doubt {
@@ -58,7 +61,8 @@
   const std::set<Ix>& silent() const { return silent_; }
 
   // A report that came in; the answer's body, or nothing if it must not be accepted.
-  std::optional<wire::Value> report(const wire::Report& report);
+  // `orders`: whether the answer may hold any.
+  std::optional<wire::Value> report(const wire::Report& report, bool orders = true);
   bool start(Machine& m, jobs::Job& job, std::uint32_t task);
   void stop(Machine& m, Slot& slot, double grace_s);
   void cancel(jobs::Job& job);
@@ -69,6 +73,11 @@
   void changed(Machine& m);                     // something that decides whether, or for what, it takes work
   void flush();                                 // send the orders that have gathered
   void tick();
+  const health::Links& links() const { return links_; }
+  // A machine of which nothing is heard, while others of its zone are.
+  bool lost_alone(const Machine& m) const {
+    return links_.lost_alone(m.zone, std::min(m.unanswered_since, m.last_contact + silent_s()));
+  }
   Seconds silence(const Machine& m) const { return out_.now() - m.last_contact; }
   Seconds silent_s() const { return settings_.tunables.silent_reports * settings_.report_s; }
   wire::Value record(Ix ix) const;  // for the roster
@@ -81,6 +90,8 @@
   // What tasks that are not known here can use at most; nothing if not even that is known.
   std::optional<wire::Resources> unaccounted() const;
 
+  int unknown() const { return unknown_; }  // tasks on machines that belong to no open job
+
   const Index& index();  // up to date
   bool may_start(const Machine& m) const;
   // How often a spot machine is taken, per second of its time, as seen so far.
@@ -102,6 +113,8 @@
   void touch_image(Machine& m, Ix image);
   void settle(Machine& m);
   void account(Machine& m);  // whether it is in doubt
+  void expect(Machine& m);   // whether it should report
+  void ask_again(Ix zone);
   Doubt& doubt(const Machine& m);
   Seconds lease_end() const;  // of a lease that starts now at the latest
   void check(Machine& m);
@@ -131,6 +144,8 @@
   std::set<Ix> silent_;
   std::unordered_map<std::string, Ix> by_host_;
   Index index_;
+  health::Links links_;
+  std::vector<Seconds> ask_at_;  // by zone out of reach: when to ask one of its machines again
   std::vector<Ix> stale_;
   std::deque<Ix> orders_due_, tokens_due_;  // machines to be called, those with orders first
   struct Due {
@@ -142,7 +157,7 @@
   std::vector<Slot> ended_;  // by the report being taken in
   std::vector<wire::Resources> team_use_;
   std::vector<Doubt> doubts_;
-  int in_doubt_ = 0, unsized_ = 0;
+  int in_doubt_ = 0, unsized_ = 0, unknown_ = 0;
   wire::Resources doubt_sum_;
   bool active_ = false;
   static constexpr double kSpotPrior = 3600;  // as if one had been taken in an hour, until more is known
--- a/src/agents/orders.cpp
+++ b/src/agents/orders.cpp
@@ -8,6 +8,7 @@
 namespace wingtrail::agents {
 namespace {
 constexpr Seconds kCommandTimeout = 2.0;
+constexpr Seconds kTokenTimeout = 1.0;  // nothing is in doubt if it is given up
 constexpr Seconds kResend = 1.0;
 // PROTOCOL: a worker gives an answer to its report up after 4 s; the rest covers both clocks' drift and
 // steps.
@@ -148,12 +149,13 @@
   // A machine of the roster is asked before its first report: a wrong session gets 409 with its report.
   if (m.gone || m.addr.empty() || (!m.reporting && m.settled)) return;
   if (out_.now() < m.retry_at) return look_again(m, m.retry_at);
+  if (links_.cut(m.zone, out_.now())) return look_again(m, out_.now() + kResend);
   if (out_.now() >= link_.authority_until()) return look_again(m, out_.now() + kResend);
   if (!m.settled) {
     // A report's answer has told it our token a moment ago; its next report says so.
     if (m.reporting && out_.now() < m.pushed_at + kResend) return look_again(m, m.pushed_at + kResend);
     // This only makes our token known; the orders proper follow it.
-    return send_direct(m, {}, {}, kCommandTimeout);
+    return send_direct(m, {}, {}, kTokenTimeout);
   }
   // Before a machine is in the persisted roster the next leader would not know to ask it, so it gets no
   // start.
@@ -171,7 +173,7 @@
 void Agents::send_direct(Machine& m, const std::vector<wire::Order>& list, std::vector<std::uint64_t> starts,
                          Seconds timeout) {
   m.in_flight = true;
-  m.pushed_at = out_.now();
+  m.pushed_at = m.called_at = out_.now();
   ++calls_;
   ++direct_calls_;
   ports::Call call;
@@ -224,7 +226,7 @@
     }
     m.unreachable = true;
     m.retry_at = out_.now() + kResend;
-    ++m.failures;
+    if (m.failures++ == 0) m.unanswered_since = m.called_at;
     // Spot machines vanish one by one all the time; that says nothing about the others.
     if (unanswered && m.reporting && !m.spot) raise_alarm();
     if (m.reporting) look_again(m, out_.now());
--- a/src/daemon/admission.cpp
+++ b/src/daemon/admission.cpp
@@ -8,6 +8,7 @@
 namespace wingtrail::daemon {
 namespace {
 constexpr Seconds kCreateTimeout = 2.5;
+constexpr Seconds kGoneWithin = 0.5;  // sound workers end a job's tasks within
 constexpr std::size_t kFinalsKept = 50'000;  // some 100 bytes each
 }  // namespace
 
@@ -88,7 +89,7 @@
 // A version that does not know of chains would start the job at once.
 bool Node::old_leader() const {
   for (std::size_t i = 0; i < peers_.size(); ++i) {
-    if (settings_.peers[i].name == election_.leader()) return peers_[i].level.value_or(peer::kLevel) < 1;
+    if (settings_.peers[i].name == election_.leader()) return peers_[i].level.value_or(peer::kLevel) < peer::kChains;
   }
   return false;
 }
@@ -120,7 +121,7 @@
       [this, n, asked = std::move(asked)](const store::Reply& r) {
         if (r.status != 200 && r.status != 409) {
           // This node alone may be refused; a peer that is served can find out just as well.
-          const auto peer = n->from.by_peer ? std::nullopt : served_peer(peer::kLevel);
+          const auto peer = n->from.by_peer ? std::nullopt : served_peer(peer::kChains);
           return hand_on(n->from, peer, "POST", wire::kJobsPath, n->bytes, kCreateTimeout,
                          [this, n, status = r.status] { try_later(n->from, status == 429 ? 429 : 503); });
         }
@@ -186,7 +187,7 @@
 }
 
 void Node::create_at_peer(const std::shared_ptr<Creation>& c) {
-  const auto peer = c->from.by_peer ? std::nullopt : served_peer(c->spec.waits_on.empty() ? 0 : peer::kLevel);
+  const auto peer = c->from.by_peer ? std::nullopt : served_peer(c->spec.waits_on.empty() ? 0 : peer::kChains);
   if (!peer) return;
   c->peer_asked = c->peer_open = true;
   ask_peer(*peer, "POST", wire::kJobsPath, wire::encode_cbor(c->value), kCreateTimeout,
@@ -312,11 +313,10 @@
     return hand_on(from, leader_peer(), "POST", path, "", 3.0,
                    [this, from, ref] { leave_intent(from, ref); });
   }
-  auto close = [this, from, ref](jobs::Job& job) {
-    ledger_.close(job, wire::Phase::cancelled, [this, from, ref] {
-      if (!answer_final(from, ref, true)) try_later(from);
-    });
-    agents_.cancel(job);
+  auto close = [this, from](jobs::Job& job) {
+    cancel(job);
+    aborts_.push_back({job.ix, from, out_.now() + kGoneWithin});
+    out_.after(kGoneWithin, [] {});  // to be looked at then, whatever else happens
   };
   if (jobs::Job* job = registry_.find(ref)) return close(*job);
   fresh(ref, store::Urgency::user, true,
@@ -353,8 +353,56 @@
   jobs::Job* job = registry_.find(key.substr(prefix, key.size() - prefix - mark));
   if (!job || !job->open()) return;
   job->intent = true;
-  ledger_.close(*job, wire::Phase::cancelled, {});
-  agents_.cancel(*job);
+  cancel(*job);
+  aborts_.push_back({job->ix, {}, ports::kNever});
+}
+
+// Nothing of it starts any more, and what runs is stopped.
+void Node::cancel(jobs::Job& job) {
+  if (job.open()) job.aborting = true;
+  agents_.cancel(job);
+}
+
+// Whether no machine can have a task of the job. In custody a worker out of reach may be kept alive for longer than
+// cancel_s, so nobody is told of a cancellation before this; without custody its lease is over by then.
+bool Node::gone_for_sure(const jobs::Job& job) const {
+  if (settings_.tunables.custody_leases <= 0) return true;
+  if (job.placed > 0) return false;
+  return job.created > election_.token() || (scheduler_.accounted(job) && agents_.unknown() == 0);
+}
+
+// Cancellations whose tasks are gone are recorded, and told then. While a task's machine does not answer, the
+// user is told to come back; the job starts nothing meanwhile.
+void Node::follow_aborts() {
+  if (aborts_.empty() || !loaded_) return;
+  std::vector<Abort> waiting;
+  for (Abort& a : std::exchange(aborts_, {})) {
+    jobs::Job* job = registry_.at(a.job);
+    if (!job) {
+      if (a.from) try_later(*a.from);
+      continue;
+    }
+    if (job->closing || job->closed || (entitled() && gone_for_sure(*job))) {
+      std::function<void()> then;
+      if (a.from)
+        then = [this, from = *a.from, ref = job->spec.ref] {
+          if (!answer_final(from, ref, true)) try_later(from);
+        };
+      if (job->closed) {
+        if (then) then();
+      } else {
+        ledger_.close(*job, wire::Phase::cancelled, std::move(then));
+      }
+      continue;
+    }
+    if (a.from && out_.now() >= a.until) {
+      ++stats_.aborts_put_off;
+      try_later(*a.from);
+      a.from.reset();
+    }
+    waiting.push_back(std::move(a));
+  }
+  aborts_.insert(aborts_.end(), waiting.begin(), waiting.end());
 }
 
 }  // namespace wingtrail::daemon
--- a/src/daemon/leading.cpp
+++ b/src/daemon/leading.cpp
@@ -19,6 +19,7 @@
   asking_ = 0;
   scheduler_.clear();
   ledger_.begin();
+  grants_.begin(out_.now());
   agents_.begin();
   agents_.set_catalog(catalog_);
   load(jobs::kLive, "", term_);
@@ -27,6 +28,9 @@
 void Node::lost() {
   ++term_;
   loaded_ = false;
+  for (const Abort& a : std::exchange(aborts_, {})) {
+    if (a.from) try_later(*a.from);
+  }
   ledger_.end();
   agents_.end();
   fleet_.end();
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -21,6 +21,8 @@
       store_(out_, settings_),
       registry_(settings_),
       election_(out_, store_, settings_, {[this] { elected(); }, [this] { lost(); }}),
+      custodian_(settings_.tunables.custody_leases * settings_.lease_s),
+      grants_(settings_.tunables.custody_leases * settings_.lease_s, settings_.lease_s, settings_.peers.size()),
       chains_(registry_, {[this](const std::string& ref) -> std::optional<jobs::Chains::End> {
                             const auto it = finals_.find(ref);
                             if (it == finals_.end()) return std::nullopt;
@@ -32,7 +34,8 @@
               {[this] { return election_.token(); }, [this] { return election_.authority_until(); },
                [this] { election_.superseded("a write found another leader"); }, lead::kKey}),
       agents_(out_, settings_, registry_, ledger_,
-              {[this] { return election_.token(); }, [this] { return election_.authority_until(); }},
+              {[this] { return election_.token(); }, [this] { return election_.authority_until(); },
+               [this](Seconds own) { return grants_.lease_end(own); }},
               {[this](agents::Machine& m) { scheduler_.room(m); },
                [this](agents::Machine& m) { scheduler_.room(m); },
                [this](agents::Machine& m) { scheduler_.gone(m); },
@@ -59,6 +62,7 @@
 
 void Node::start(Seconds now) {
   out_.set_now(now);
+  started_at_ = now;
   election_.start();
   read_catalog();
   fetch_catalog();
@@ -79,6 +83,7 @@
 }
 
 std::vector<ports::Action> Node::drain() {
+  if (election_.leading()) follow_aborts();
   if (entitled()) agents_.flush();
   return out_.drain();
 }
@@ -182,6 +187,10 @@
 void Node::report(const From& from, const std::string& bytes) {
   ++stats_.reports;
   if (!entitled()) {
+    if (auto kept = answer_in_custody(bytes)) {
+      ++stats_.custody_answers;
+      return respond(from, 200, std::move(*kept));
+    }
     bounced_.push_back(out_.now());
     while (bounced_.size() > 10'000) bounced_.pop_front();
     // Only a leader that somebody else is: naming this node would send the worker around in a circle.
@@ -199,6 +208,56 @@
   respond(from, 200, std::move(*answer));
 }
 
+// A report that this node may decide nothing about. If the leader cannot be reached either, an answer without
+// orders keeps alive what runs on the worker; see custody/custody.hpp and docs/safety.md.
+std::optional<wire::Value> Node::answer_in_custody(const std::string& bytes) {
+  custodian_.heard(election_.leader_token());
+  if (election_.leading()) {
+    if (modern()) custodian_.granted(election_.token(), election_.renewed_at());
+  } else if (leader_answers() || out_.now() - started_at_ < vacancy_s()) {
+    return std::nullopt;
+  }
+  if (out_.now() >= custodian_.until()) return std::nullopt;  // spares reading the report
+  const auto r = wire::parse_report(bytes);
+  if (!r) return std::nullopt;
+  const auto token = custodian_.may_answer(out_.now(), r->token);
+  if (!token) return std::nullopt;
+  if (election_.leading()) {
+    if (!loaded_) return std::nullopt;
+    auto answer = agents_.report(*r, false);
+    if (answer) custodian_.answered(out_.now());
+    return answer;
+  }
+  // One with nothing on it has nothing to lose, and finds the leader sooner if it goes on looking.
+  if (r->tasks.empty()) return std::nullopt;
+  custodian_.answered(out_.now());
+  return wire::report_answer(*token, {});
+}
+
+// An office that fell vacant by a crash is taken again within the leader's lease; that long nobody steps in.
+Seconds Node::vacancy_s() const { return settings_.tunables.leader_lease_s + 0.5; }
+
+// Whether workers should be sent to the leader.
+bool Node::leader_answers() const {
+  for (std::size_t i = 0; i < peers_.size(); ++i) {
+    if (settings_.peers[i].name != election_.leader()) continue;
+    if (peers_[i].answers && out_.now() - peers_[i].last_ok < vacancy_s()) return true;
+  }
+  return out_.now() - leader_seen_ < vacancy_s();
+}
+
+bool Node::all_modern() const {
+  return std::all_of(peers_.begin(), peers_.end(),
+                     [](const PeerView& p) { return p.level && *p.level >= peer::kCustody; });
+}
+
+bool Node::modern() const {
+  if (!all_modern()) return false;
+  Seconds since = modern_since_;
+  for (const PeerView& p : peers_) since = std::min(since, p.modern_since);
+  return out_.now() - since >= settings_.cancel_s;
+}
+
 // ---------------------------------------------------------------- peers
 
 peer::Frame Node::frame() const {
@@ -209,6 +268,10 @@
   f.store_ok = store_.healthy();
   f.bounced = static_cast<std::uint32_t>(bounced_.size());
   f.level = peer::kLevel;
+  f.age_s = out_.now() - started_at_;
+  f.held_s = custodian_.held_s(out_.now());
+  f.modern_s = all_modern() ? out_.now() - modern_since_ : -1;
+  f.answers = entitled() || (election_.leading() && loaded_ && out_.now() < custodian_.until());
   return f;
 }
 
@@ -222,8 +285,13 @@
     call.path = peer::kPath;
     call.frame = frame();
     call.timeout_s = 0.9;
-    out_.call(std::move(call), [this, i](const ports::Reply& r) {
-      if (r.frame) heard(i, *r.frame);
+    out_.call(std::move(call), [this, i, asked = out_.now()](const ports::Reply& r) {
+      if (!r.frame) return;
+      heard(i, *r.frame);
+      if (r.frame->grant && r.frame->node == r.frame->leader) custodian_.granted(r.frame->token, asked);
+      if (election_.leading() && r.frame->token >= election_.token())
+        grants_.vouched(i, asked, out_.now(),
+                        {r.frame->age_s, r.frame->held_s, r.frame->level >= peer::kCustody});
     });
   }
   out_.after(kGreeting, [this] { greet(); });
@@ -234,13 +302,29 @@
   peers_[i].store_ok = f.store_ok;
   peers_[i].bounced = f.bounced;
   peers_[i].level = f.level;
+  peers_[i].answers = f.answers;
+  peers_[i].modern_since = f.modern_s >= 0 ? out_.now() - f.modern_s : ports::kNever;
+  modern_since_ = all_modern() ? std::min(modern_since_, out_.now()) : ports::kNever;
   if (!f.leader.empty()) election_.heard(f.leader, f.token);
+  custodian_.heard(election_.leader_token());
+  if (f.answers && f.node == election_.leader()) leader_seen_ = out_.now();
 }
 
 void Node::peer(Seconds now, std::uint64_t id, const peer::Frame& f) {
   out_.set_now(now);
   for (std::size_t i = 0; i < settings_.peers.size(); ++i) {
-    if (settings_.peers[i].name == f.node) heard(i, f);
+    if (settings_.peers[i].name != f.node) continue;
+    heard(i, f);
+    if (f.path.empty() && entitled() && modern() && settings_.tunables.custody_leases > 0) {
+      grants_.granted(i, out_.now());
+      ++stats_.grants;
+      ports::Answer a;
+      a.request = id;
+      a.frame = frame();
+      a.frame->status = 200;
+      a.frame->grant = true;
+      return out_.answer(std::move(a));
+    }
   }
   const From from{id, true};
   if (f.path.empty()) return respond(from, 200);
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "agents/agents.hpp"
+#include "custody/custody.hpp"
 #include "fleet/fleet.hpp"
 #include "jobs/chains.hpp"
 #include "jobs/ledger.hpp"
@@ -38,6 +39,7 @@
   std::uint64_t ends_written = 0, roster_written = 0, progress_written = 0, pages_divided = 0, malformed = 0;
   std::uint64_t chains_ready = 0, orphaned = 0;
   std::size_t live_jobs = 0, held_jobs = 0, machines = 0, record_pages = 0;
+  std::uint64_t custody_answers = 0, grants = 0, aborts_put_off = 0;
   double settled_after_s = 0;
   bool leading = false;
 };
@@ -74,6 +76,8 @@
     bool store_ok = false;
     std::uint32_t bounced = 0;
     std::optional<std::uint32_t> level;  // what it understands, see peer::kLevel; nothing: not heard of yet
+    bool answers = false;
+    Seconds modern_since = ports::kNever;  // since when it has known all nodes to be of level 2
   };
 
   void route(const From& from, const std::string& method, const std::string& path, const std::string& body);
@@ -94,7 +98,16 @@
   void abort(const From& from, const std::string& ref);
   void leave_intent(const From& from, const std::string& ref);
   void intent_seen(const std::string& key);
+  void cancel(jobs::Job& job);
+  bool gone_for_sure(const jobs::Job& job) const;
+  void follow_aborts();
   void report(const From& from, const std::string& bytes);
+  std::optional<wire::Value> answer_in_custody(const std::string& bytes);
+  bool leader_answers() const;
+  Seconds vacancy_s() const;
+  // Whether no node of a version without custody has led for as long as a cancellation has.
+  bool modern() const;
+  bool all_modern() const;
   std::optional<std::string> impossible(const wire::JobSpec& spec) const;
 
   // Answers with the job's state from memory, the leader or a fresh read; 404 only after a fresh read.
@@ -147,6 +160,8 @@
   store::Client store_;
   jobs::Registry registry_;
   lead::Election election_;
+  custody::Custodian custodian_;
+  custody::Grants grants_;
   jobs::Chains chains_;
   jobs::Ledger ledger_;
   agents::Agents agents_;
@@ -163,6 +178,13 @@
   std::vector<std::string> intents_;  // read while loading
   std::deque<std::string> to_ask_;    // needed jobs that nothing is known of
   int asking_ = 0;
+  struct Abort {  // a cancellation that waits for its tasks to be gone, and who asked for it
+    jobs::Ix job;
+    std::optional<From> from;
+    Seconds until;
+  };
+  std::vector<Abort> aborts_;
+  Seconds started_at_ = 0, modern_since_ = ports::kNever, leader_seen_ = -1e9;
   std::uint64_t jobs_revision_ = 0;
   std::deque<Seconds> bounced_;  // when worker reports were turned away
   Seconds last_report_ = 0, reach_since_ = 0, unreached_since_ = 0;
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -10,6 +10,7 @@
 constexpr Seconds kRefusedPause = 15;  // capacity comes back when others return machines
 constexpr double kBootOverrun = 2.5;   // times the catalog's boot time: then another machine is sought
 constexpr Seconds kCallTimeout = 4;
+constexpr Seconds kStalled = 1;  // between two ticks: this process stood still
 constexpr int kMostPerHire = 50;
 constexpr std::size_t kMostPerReturn = 100;
 
@@ -48,7 +49,6 @@
   // What the last reckoning found names machines of a leadership that is over (seed 201: used after it was
   // freed).
   stock_.clear();
-  zone_machines_.clear();
   draining_.clear();
   faulty_.clear();
   unborn_.clear();
@@ -69,6 +69,9 @@
 
 void Fleet::tick() {
   if (!active_ || !link_.entitled()) return;
+  // Calls given up by a process that stood still say nothing: their answers may lie in its sockets.
+  if (out_.now() > ticked_at_ + kStalled) judge_after_ = out_.now() + 2 * kStalled;
+  ticked_at_ = out_.now();
   if (!listing_ && out_.now() >= list_at_ && take_call(false)) {
     listing_ = true;
     seen_in_list_.clear();
@@ -171,6 +174,7 @@
 
 bool Fleet::refused(const Pool& pool) const {
   auto until = refused_until_.find(pool);
+  if (cut(pool.zone)) return true;
   return until != refused_until_.end() && out_.now() < until->second;
 }
 
@@ -208,7 +212,6 @@
 // The one walk over the machines, once a second: what there is, and which of them need attention.
 void Fleet::reckon() {
   stock_.clear();
-  zone_machines_.clear();
   draining_.clear();
   faulty_.clear();
   unborn_.clear();
@@ -217,12 +220,12 @@
     const Machine& m = agents_.at(ix);
     if (counts(m)) {
       Stock& stock = stock_[{m.type, m.zone, m.spot}];
-      stock.cores += m.cpus;
+      // What runs in a zone out of reach goes on, but nothing more can be started there.
+      stock.cores += cut(m.zone) ? m.used.cpus : m.cpus;
       ++stock.machines;
       largest_ = std::max(largest_, m.cpus);
     }
     if (m.returning) continue;
-    if (m.reporting || !m.settled) ++zone_machines_[m.zone];
     if (m.draining) draining_.push_back(ix);
     if (m.health == agents::Health::bad && m.reporting && !busy(m)) faulty_.push_back(ix);
     if (!m.reporting && m.settled && !counts(m)) unborn_.push_back(ix);
@@ -484,18 +487,14 @@
 // Machines that do not do their work are replaced; a return also ends whatever is on them, so their tasks can
 // be started elsewhere at once instead of when a lease has run out.
 void Fleet::watch_health() {
-  // Measured from when this leader could have heard of anybody.
-  if (out_.now() - began_ >= agents_.silent_s() && !agents_.silent().empty()) {
-    std::map<Ix, int> silent;  // by zone
-    for (const Ix ix : agents_.silent()) silent[agents_.at(ix).zone] += !agents_.at(ix).returning;
+  // A machine of a zone out of reach goes on unseen, and a return would end what runs on it; one that is lost
+  // while its zone is heard has nothing left to lose. Counting the silent ones instead returned 231 sound
+  // machines of a zone whose machines fell silent one after the other.
+  if (out_.now() >= judge_after_ && !agents_.silent().empty()) {
     std::vector<Ix> lost;
     for (const Ix ix : agents_.silent()) {
       const Machine& m = agents_.at(ix);
-      if (m.returning || !(m.unreachable || !m.reporting)) continue;
-      // A zone that is silent as a whole is cut off rather than broken: its work goes on unseen, and
-      // returning its machines would end that.
-      const int all = zone_machines_[m.zone], mute = silent[m.zone];
-      if (mute <= std::max(2, all / 2) && mute < std::max(2, all)) lost.push_back(ix);
+      if (!m.returning && (m.unreachable || !m.reporting) && agents_.lost_alone(m)) lost.push_back(ix);
     }
     give_back(lost, "silent");
   }
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -82,6 +82,7 @@
   double cores(bool spot) const;
   std::vector<std::vector<Pool>> pools(bool spot) const;
   bool counts(const Machine& m) const;
+  bool cut(Ix zone) const { return agents_.links().cut(zone, out_.now()); }
 
   ports::Outbox& out_;
   const settings::Settings& settings_;
@@ -92,7 +93,6 @@
   std::vector<wire::MachineType> catalog_;
   std::vector<wire::MachineType> types_;  // the same by type index; no cores: unknown
   std::map<Pool, Stock> stock_;           // as of the last reckoning, and what was asked for since
-  std::map<Ix, int> zone_machines_;       // that should report, as of the last reckoning
   double largest_ = 0;                    // cores of the largest machine
   std::vector<Ix> draining_, faulty_, unborn_;
   std::map<Pool, Seconds> refused_until_;
@@ -103,6 +103,7 @@
   std::set<Ix> to_return_;
   store::Bucket calls_;
   bool active_ = false, listing_ = false, returning_ = false;
+  Seconds ticked_at_ = 0, judge_after_ = 0;
   Seconds list_at_ = 0, rent_at_ = 0, began_ = 0, excess_since_ = 0;
   double smooth_flexible_ = -1, smooth_ordinary_ = -1;
   std::uint64_t counter_ = 0, term_ = 0, hired_ = 0, returned_ = 0;
--- a/src/jobs/registry.hpp
+++ b/src/jobs/registry.hpp
@@ -65,6 +65,7 @@
   std::vector<std::uint32_t> pending;  // task numbers, in no order that matters; the next one last
   std::uint32_t done = 0, running = 0, placed = 0;
   std::vector<std::uint32_t> in_zone;  // placed tasks by zone
+  bool aborting = false;               // its user wants it cancelled; its tasks must be gone first
   bool closing = false;                // its final state is being persisted
   bool closed = false;                 // and has been
   bool intent = false;                 // there is a record that its user wants it cancelled
@@ -81,7 +82,7 @@
   bool service() const { return spec.shape == wire::Shape::service; }
   bool gang() const { return spec.shape == wire::Shape::gang; }
   bool open() const { return !closing && !closed; }
-  bool held() const { return unmet > 0 || orphan; }
+  bool held() const { return unmet > 0 || orphan || aborting; }
   wire::Phase phase() const { return running > 0 ? wire::Phase::running : wire::Phase::queued; }
 };
 
--- a/src/lead/election.cpp
+++ b/src/lead/election.cpp
@@ -126,6 +126,7 @@
   lease_ = lease;
   token_ = token;
   until_ = authority(lease_sent);
+  renewed_at_ = lease_sent;
   heard(settings_.node, token);
   leader_ = settings_.node;
   spdlog::info("this node leads, token {}", token);
@@ -147,6 +148,7 @@
     if (r.status == 200) {
       if (out_.now() >= until_) spdlog::info("renewal got through, orders go on (token {})", token_);
       until_ = std::max(until_, authority(sent));
+      renewed_at_ = std::max(renewed_at_, sent);
       return renew_later(std::max(0.05, sent + settings_.tunables.leader_lease_s / 4 - out_.now()));
     }
     if (r.status == 404) return step_down("the lease has ended");
--- a/src/lead/election.hpp
+++ b/src/lead/election.hpp
@@ -28,6 +28,8 @@
   // if a renewal gets through later: the lease then never ended, so nobody else can have led.
   Seconds authority_until() const { return leading_ ? until_ : -1; }
   bool entitled() const { return leading_ && out_.now() < until_; }
+  // When the last renewal that got through was sent; of use while leading().
+  Seconds renewed_at() const { return renewed_at_; }
   std::uint64_t token() const { return token_; }
 
   // The newest leadership known, from the state service or from peers.
@@ -57,7 +59,7 @@
   Events events_;
   bool leading_ = false, standing_ = false;
   std::uint64_t lease_ = 0, token_ = 0, term_ = 0;
-  Seconds until_ = -1, stand_after_ = 0;
+  Seconds until_ = -1, renewed_at_ = -1, stand_after_ = 0;
   std::string leader_;
   std::uint64_t leader_token_ = 0;
 };
--- a/src/peer/frame.hpp
+++ b/src/peer/frame.hpp
@@ -9,8 +9,10 @@
 
 namespace wingtrail::peer {
 
-// What the sender understands beyond the first version's frames, which lack the field: 1, job chains.
-inline constexpr std::uint32_t kLevel = 1;
+// What the sender understands beyond the first version's frames, which lack the field: 1, job chains;
+// 2, custody.
+inline constexpr std::uint32_t kLevel = 2;
+inline constexpr std::uint32_t kChains = 1, kCustody = 2;
 
 inline constexpr const char* kPath = "/peer";
 
@@ -25,7 +27,13 @@
   std::int32_t status = 0;    // the answer's status; 0: no answer
   double retry_after_s = 0;
   std::uint32_t level = 0;
-  MSGPACK_DEFINE_MAP(node, token, leader, store_ok, bounced, method, path, body, status, retry_after_s, level)
+  double age_s = 0;      // since the sender's process began
+  double held_s = -1;    // since it last answered a report in custody; negative: never
+  double modern_s = -1;  // for how long it has known all its peers to be of level 2; negative: they are not
+  bool answers = false;  // it answers workers' reports as the leader, with orders or, for a while, without
+  bool grant = false;    // in an answer of the leader: its asker may answer reports, counted from its asking
+  MSGPACK_DEFINE_MAP(node, token, leader, store_ok, bounced, method, path, body, status, retry_after_s, level, age_s,
+                     held_s, modern_s, answers, grant)
 };
 
 std::string encode(const Frame& frame);
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -49,6 +49,8 @@
   // Whether another machine with the job's image could take a task over from this one.
   bool could_move(const Job& job, const Machine& from);
   bool allowed(const Machine& m, const Job& job) const;
+  // Whether every task of the job that an earlier leader could have started is known.
+  bool accounted(const Job& job) const;
   bool allowed(const Job& job, Ix type, Ix zone, bool spot) const;
   // Jobs with tasks that wait for a machine.
   const std::vector<Ix>& waiting() const { return waiting_; }
@@ -71,7 +73,6 @@
     std::vector<std::size_t> victims;
   };
   bool startable(const Job& job) const;
-  bool accounted(const Job& job) const;
   bool can_start(const Machine& m, const Job& job, bool ignore_room = false) const;
   bool quota_allows(const Job& job, double tasks = 1) const;
   bool zone_allows(Ix zone, const Job& job) const;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -208,6 +208,7 @@
 };
 constexpr Tunable kTunables[] = {
     {"leader_lease_s", &Tunables::leader_lease_s, nullptr, 0.5, 60},
+    {"custody_leases", &Tunables::custody_leases, nullptr, 0, 100},
     {"cutoff_s", &Tunables::cutoff_s, nullptr, 0, kDay},
     {"reservations_per_task", &Tunables::reservations_per_task, nullptr, 1, 20},
     {"steal_sample", nullptr, &Tunables::steal_sample, 1, 1000},
