One alarm asks every machine once, the longest silent first; an overdue order raises it

Cause: of 100 machines that hung at once the last was found after 9 s, since 144 calls at a time went round in circles over machines that had answered.

--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -14,7 +14,6 @@
 constexpr Seconds kResend = 1.0;
 constexpr Seconds kAlarm = 3.0;
 constexpr Seconds kAskCut = 0.25;
-constexpr Seconds kAlarmSilence = 1.0;
 constexpr double kAboutToReport = 0.6;  // of the report interval
 constexpr double kLateReport = 1.3;     // reports are up to a quarter late
 
@@ -63,6 +62,9 @@
   stale_.clear();
   orders_due_.clear();
   tokens_due_.clear();
+  sweep_.clear();
+  alarm_from_ = -kAlarm;
+  alarm_until_ = 0;
   due_ = {};
   doubts_.clear();
   in_doubt_ = unsized_ = unknown_ = calls_ = 0;
@@ -570,14 +572,32 @@
 }
 
 // An ordinary machine does not answer. Machines seldom hang alone, and waiting until each should have
-// reported costs its replicas seconds, so all that were not heard of within the last moment are asked now.
+// reported costs its replicas seconds, so all are asked now, once: those that answer are not asked again.
 void Agents::raise_alarm() {
-  const bool raised = out_.now() < alarm_until_;
-  alarm_until_ = out_.now() + kAlarm;
-  if (raised) return;
+  const Seconds now = out_.now();
+  alarm_until_ = now + kAlarm;
+  if (now < alarm_from_ + kAlarm) return;
+  alarm_from_ = now;
+  sweep_.clear();
   for (const Ix ix : live_) {
-    Machine& m = machines_[ix];
-    if (m.reporting && !m.in_flight && silence(m) > kAlarmSilence) look_again(m, out_.now());
+    if (machines_[ix].reporting) sweep_.push_back(ix);
+  }
+  // The longest silent first: they are the likeliest, and need no second call to be sure of.
+  std::sort(sweep_.begin(), sweep_.end(), [this](Ix a, Ix b) {
+    const Seconds la = machines_[a].last_contact, lb = machines_[b].last_contact;
+    return la != lb ? la < lb : a < b;
+  });
+  ++sweeps_;
+}
+
+void Agents::sweep() {
+  while (!sweep_.empty() && calls_ < call_limit()) {
+    Machine& m = machines_[sweep_.front()];
+    sweep_.pop_front();
+    if (m.gone || !m.reporting || m.in_flight || m.addr.empty() || m.last_contact >= alarm_from_ ||
+        links_.cut(m.zone, out_.now()))
+      continue;
+    send_direct(m, {}, {}, kProbeTimeout);
   }
 }
 
@@ -628,9 +648,10 @@
   if ((amid || missing || silence(m) > silent_s()) && (m.reporting || !m.settled)) silent_.insert(m.ix);
   if (!m.settled && silence(m) <= silent_s()) look_again(m, m.last_contact + silent_s() + kSoonest);
   if (!m.reporting) return;
-  const Seconds late = now < alarm_until_ ? kAlarmSilence : kLateReport * settings_.report_s;
+  // One that failed to answer is asked again at once.
+  const Seconds late = m.failures > 0 ? 0 : kLateReport * settings_.report_s;
   // It reports, but was not there when it was last called: without another call it would never get orders again.
-  const bool back = m.unreachable && silence(m) <= late;
+  const bool back = m.unreachable && m.failures == 0 && silence(m) <= late;
   if (back && !m.in_flight && now >= m.retry_at && !m.addr.empty() && calls_ < call_limit())
     send_direct(m, {}, {}, kProbeTimeout);
   if (silence(m) <= late) return look_again(m, back ? now + kResend : m.last_contact + late + kSoonest);
--- a/src/agents/agents.hpp
+++ b/src/agents/agents.hpp
@@ -101,6 +101,7 @@
   std::uint64_t orders_sent() const { return orders_sent_; }
   std::uint64_t direct_calls() const { return direct_calls_; }
   std::uint64_t checks() const { return checks_; }
+  std::uint64_t sweeps() const { return sweeps_; }  // alarms that asked every machine
   Seconds cleared_after() const { return cleared_after_; }  // since the take-over; 0: not yet
 
  private:
@@ -119,6 +120,7 @@
   Seconds lease_end() const;  // of a lease that starts now at the latest
   void check(Machine& m);
   void raise_alarm();
+  void sweep();
   void look_again(Machine& m, Seconds at);
   void want(Machine& m);
   int call_limit() const;
@@ -163,9 +165,10 @@
   static constexpr double kSpotPrior = 3600;  // as if one had been taken in an hour, until more is known
   double spot_lost_ = 0, spot_seconds_ = 0;   // of all leaderships of this process
   int calls_ = 0;
-  Seconds alarm_until_ = 0;
+  Seconds alarm_from_ = -1e9, alarm_until_ = 0;
+  std::deque<Ix> sweep_;  // machines to be asked whether they live
   Seconds fence_until_ = 0, began_ = 0, cleared_after_ = 0;
-  std::uint64_t counter_ = 0, term_ = 0, orders_sent_ = 0, direct_calls_ = 0, checks_ = 0;
+  std::uint64_t counter_ = 0, term_ = 0, orders_sent_ = 0, direct_calls_ = 0, checks_ = 0, sweeps_ = 0;
 };
 
 }  // namespace wingtrail::agents
--- a/src/agents/orders.cpp
+++ b/src/agents/orders.cpp
@@ -10,6 +10,7 @@
 constexpr Seconds kCommandTimeout = 2.0;
 constexpr Seconds kTokenTimeout = 1.0;  // nothing is in doubt if it is given up
 constexpr Seconds kResend = 1.0;
+constexpr Seconds kOverdue = 0.75;  // a resent packet comes sooner, mostly
 // PROTOCOL: a worker gives an answer to its report up after 4 s; the rest covers both clocks' drift and
 // steps.
 constexpr Seconds kWorkerWaits = 4.5;
@@ -143,6 +144,7 @@
       push(m);
     }
   }
+  sweep();
 }
 
 void Agents::push(Machine& m) {
@@ -176,6 +178,16 @@
   m.pushed_at = m.called_at = out_.now();
   ++calls_;
   ++direct_calls_;
+  // A worker answers within milliseconds. Orders wait longer before they are given up, but one of them overdue
+  // while its zone is heard is reason enough to look at the others.
+  if (timeout > kOverdue && !m.spot) {
+    out_.after(kOverdue, [this, ix = m.ix, term = term_, sent = m.called_at] {
+      if (term != term_) return;
+      const Machine& late = machines_[ix];
+      if (late.in_flight && late.called_at == sent && late.reporting && !links_.quiet(late.zone, out_.now()))
+        raise_alarm();
+    });
+  }
   ports::Call call;
   call.target = ports::Target::worker;
   call.address = m.addr;
