--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -448,6 +448,10 @@
   for (const Ix ix : live_) {
     Machine& m = machines_[ix];
     if (m.zone != zone || !m.expected) continue;
+    // What failed before says only that the zone was out of reach (a day on which the first answer after a cut
+    // made 238 sound machines look lost alone).
+    m.failures = 0;
+    m.unanswered_since = ports::kNever;
     m.retry_at = out_.now();
     look_again(m, out_.now());
     if (!m.settled) want(m);
--- a/src/agents/agents.hpp
+++ b/src/agents/agents.hpp
@@ -76,7 +76,7 @@
   const health::Links& links() const { return links_; }
   // A machine of which nothing is heard, while others of its zone are.
   bool lost_alone(const Machine& m) const {
-    return links_.lost_alone(m.zone, std::min(m.unanswered_since, m.last_contact + silent_s()));
+    return links_.lost_alone(m.zone, m.addr.empty() ? m.last_contact + silent_s() : m.unanswered_since);
   }
   Seconds silence(const Machine& m) const { return out_.now() - m.last_contact; }
   Seconds silent_s() const { return settings_.tunables.silent_reports * settings_.report_s; }
--- a/src/agents/orders.cpp
+++ b/src/agents/orders.cpp
@@ -238,7 +238,7 @@
     }
     m.unreachable = true;
     m.retry_at = out_.now() + kResend;
-    if (m.failures++ == 0) m.unanswered_since = m.called_at;
+    if (m.called_at >= links_.back_at(m.zone) && m.failures++ == 0) m.unanswered_since = m.called_at;
     // Spot machines vanish one by one all the time; that says nothing about the others.
     if (unanswered && m.reporting && !m.spot) raise_alarm();
     if (m.reporting) look_again(m, out_.now());
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -228,7 +228,10 @@
     if (m.returning) continue;
     if (m.draining) draining_.push_back(ix);
     if (m.health == agents::Health::bad && m.reporting && !busy(m)) faulty_.push_back(ix);
-    if (!m.reporting && m.settled && !counts(m)) unborn_.push_back(ix);
+    // One that boots in a zone out of reach cannot say that it is up; that it did not is known later.
+    if (!m.reporting && m.settled && !counts(m) && !cut(m.zone) &&
+        out_.now() > agents_.links().back_at(m.zone) + 2 * settings_.report_s)
+      unborn_.push_back(ix);
   }
   for (const Hire& h : hires_) {
     const wire::MachineType* t = type(h.pool.type);
@@ -521,7 +524,7 @@
   int moving = 0;
   for (const Ix ix : draining_) {
     Machine& m = agents_.at(ix);
-    if (m.gone || !m.draining || m.returning) continue;
+    if (m.gone || !m.draining || m.returning || cut(m.zone)) continue;
     if (!busy(m)) {
       give_back({ix}, "drained");
     } else if (excess < 0) {
@@ -541,7 +544,7 @@
   std::vector<Machine*> order;
   for (const Ix ix : agents_.live()) {
     Machine& m = agents_.at(ix);
-    if (m.reporting && counts(m)) order.push_back(&m);
+    if (m.reporting && counts(m) && !cut(m.zone)) order.push_back(&m);
   }
   std::stable_sort(order.begin(), order.end(), [](const Machine* a, const Machine* b) {
     return a->used.cpus / std::max(1.0, a->cpus) < b->used.cpus / std::max(1.0, b->cpus);
--- a/src/health/links.cpp
+++ b/src/health/links.cpp
@@ -10,13 +10,15 @@
 }
 
 Links::Zone& Links::at(std::size_t zone) {
-  while (zones_.size() <= zone) zones_.push_back({began_, 0});
+  while (zones_.size() <= zone) zones_.push_back({began_, began_, 0});
   return zones_[zone];
 }
 
 bool Links::heard(std::size_t zone, Seconds now) {
   const bool was_cut = cut(zone, now);
-  at(zone).heard = now;
+  Zone& z = at(zone);
+  z.heard = now;
+  if (was_cut) z.back = now;
   return was_cut;
 }
 
--- a/src/health/links.hpp
+++ b/src/health/links.hpp
@@ -31,6 +31,8 @@
   bool quiet(std::size_t zone, Seconds now) const { return silent_for(zone, now, 0.3, 12); }
   // The same for longer: it counts as out of reach, and what runs there as going on unseen.
   bool cut(std::size_t zone, Seconds now) const { return silent_for(zone, now, 2.0, 24); }
+  // Since when the zone has been within reach; a call that was sent before says nothing of its machine.
+  Seconds back_at(std::size_t zone) const { return zone < zones_.size() ? zones_[zone].back : began_; }
   // Whether a machine of the zone that answers nothing since `since` (when the first call that failed was sent)
   // is lost for itself: others of the zone were heard when that call had been out for a second.
   bool lost_alone(std::size_t zone, Seconds since) const {
@@ -39,7 +41,7 @@
 
  private:
   struct Zone {
-    Seconds heard = 0;
+    Seconds heard = 0, back = 0;
     int workers = 0;
   };
   // Longer than `least`, and than `reports` reports of the zone take to come in.
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -815,7 +815,8 @@
     if (job.service()) d.replicas += job.placed;
     double wait = job.held() ? 0 : per * static_cast<double>(job.pending.size());
     // What its team's limit holds back needs no machine, and neither does a job that fails wherever it runs.
-    wait = out_.now() < job.not_before ? 0 : std::min(wait, left[job.team]);
+    // Neither does what may run unseen on machines that a take-over has yet to hear of.
+    wait = out_.now() < job.not_before || !accounted(job) ? 0 : std::min(wait, left[job.team]);
     left[job.team] -= wait;
     const bool on_spot = flexible(job);
     (on_spot ? d.waiting_flexible : d.waiting_ordinary) += wait;
