--- a/src/custody/custody.cpp
+++ b/src/custody/custody.cpp
@@ -25,7 +25,6 @@
 }
 
 void Grants::begin(Seconds now) {
-  began_ = now;
   for (Peer& p : peers_) p = {now + span_s_, -1e9, -1e9, -1e9};
 }
 
@@ -36,7 +35,6 @@
 
 void Grants::vouched(std::size_t peer, Seconds asked, Seconds now, const Word& word) {
   Peer& p = peers_[peer];
-  if (asked < began_) return;
   // Earlier processes of the peer may have answered until they died, and this one until it says it last did.
   const Seconds born = now - (word.knows ? word.age_s * (1 - kDrift) : 0);
   if (born > p.vouched) p.renewed = std::max(p.renewed, std::min(born, p.until));
--- a/src/custody/custody.hpp
+++ b/src/custody/custody.hpp
@@ -61,7 +61,8 @@
   // The peer has asked; it may answer reports for as long as a grant lasts, counted from now at the latest.
   void granted(std::size_t peer, Seconds now);
 
-  // What a peer says of itself, in answer to a request of this leadership sent at `asked`, heard at `now`.
+  // What a peer says of itself, in answer to a request sent at `asked`, heard at `now`. It must
+  // know of this leadership by then.
   struct Word {
     double age_s = 0;    // since its process began
     double held_s = -1;  // since it last answered a report in custody; negative: never
@@ -87,7 +88,6 @@
 
   Seconds span_s_, lease_s_;
   std::vector<Peer> peers_;
-  Seconds began_ = 0;
 };
 
 }  // namespace wingtrail::custody
--- /dev/null
+++ b/tests/custody_test.cpp
@@ -0,0 +1,208 @@
+// Custody against a plain truth: a worker's real lease, clocks that drift, messages that come late, nodes
+// that restart, leaders that change. Whenever a leader takes the worker's lease for over, it must be.
+#include "custody/custody.hpp"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+
+#include "health/links.hpp"
+
+namespace wingtrail::custody {
+namespace {
+
+constexpr Seconds kSpan = 40, kLease = 20;
+
+class Truth {
+ public:
+  explicit Truth(std::uint64_t seed) : rng_(seed) {
+    for (Node& n : nodes_) n.rate = between(0.9995, 1.0005), n.custodian = std::make_unique<Custodian>(kSpan);
+    worker_rate_ = between(0.9995, 1.0005);
+  }
+
+  void play(double until) {
+    lead(0);
+    for (std::size_t i = 0; i < 3; ++i) later(between(0, 1), [this, i] { greet(i); });
+    later(0.1, [this] { beat(); });
+    later(5, [this] { trouble(); });
+    while (!events_.empty() && events_.begin()->first < until && wrong_ == 0) {
+      auto e = events_.extract(events_.begin());
+      t_ = e.key();
+      e.mapped()();
+      judge();
+    }
+  }
+  int wrong() const { return wrong_; }
+  int ends() const { return ends_; }
+  int kept() const { return kept_; }
+
+ private:
+  struct Node {
+    double rate = 1, cut_until = -1, born = 0;
+    std::uint64_t life = 1, knows = 0;
+    std::unique_ptr<Custodian> custodian;
+  };
+  double between(double a, double b) { return a + (b - a) * std::ldexp(static_cast<double>(rng_()), -32); }
+  bool odds(double p) { return between(0, 1) < p; }
+  void later(double delay, std::function<void()> f) { events_.emplace(t_ + delay, std::move(f)); }
+  Seconds clock(std::size_t i) const { return 1000 + t_ * nodes_[i].rate; }
+  // Lost, late by milliseconds, or held until the cut between the two is over.
+  void send(std::size_t a, std::size_t b, std::function<void()> f) {
+    const double cut = std::max(nodes_[a].cut_until, nodes_[b].cut_until);
+    if (t_ < cut) {
+      if (odds(0.5)) later(cut - t_ + between(0, 0.1), std::move(f));
+    } else if (!odds(0.02)) {
+      later(odds(0.2) ? between(0, 4) : 0.002, std::move(f));
+    }
+  }
+
+  void lead(std::size_t i) {
+    leader_ = i;
+    ++token_;
+    nodes_[i].knows = token_;
+    nodes_[i].custodian->heard(token_);
+    grants_ = std::make_unique<Grants>(kSpan, kLease, 3);
+    grants_->begin(clock(i));
+    own_ = clock(i) + kLease * (1 + kDrift) + 0.5;  // whatever earlier leaders granted ends by then
+    watched_ = worker_;
+  }
+  // Node i asks node j for a grant, and j for a word of i if it leads; as the controllers' greetings do.
+  void greet(std::size_t i) {
+    later(1, [this, i] { greet(i); });
+    for (std::size_t j = 0; j < 3; ++j) {
+      if (j == i) continue;
+      const Seconds asked = clock(i);
+      const std::uint64_t life = nodes_[i].life, knew = nodes_[i].knows;
+      send(i, j, [this, i, j, asked, life, knew] {
+        Node& to = nodes_[j];
+        if (knew > to.knows) to.knows = knew, to.custodian->heard(knew);
+        const bool grants = j == leader_;
+        if (grants) grants_->granted(i, clock(j));
+        const Grants::Word word{clock(j) - to.born, to.custodian->held_s(clock(j)), true};
+        send(j, i, [this, i, j, asked, life, knows = to.knows, grants, word] {
+          Node& me = nodes_[i];
+          if (me.life != life) return;
+          if (knows > me.knows) me.knows = knows, me.custodian->heard(knows);
+          if (grants) me.custodian->granted(knows, asked);
+          if (i == leader_ && knows >= token_) grants_->vouched(j, asked, clock(i), word);
+        });
+      });
+    }
+  }
+  // The worker reports somewhere.
+  void beat() {
+    later(odds(0.1) ? between(15, 120) : between(0.5, 6), [this] { beat(); });  // it hangs now and then
+    if ((t_ - renewed_) * worker_rate_ > kLease) ++worker_, renewed_ = t_, mandate_ = 0;
+    const std::size_t i = rng_(3);
+    const std::uint64_t session = worker_;
+    const double sent = t_;
+    later(between(0, 2), [this, i, session, sent] {
+      Node& n = nodes_[i];
+      std::uint64_t token = 0;
+      if (i == leader_) {
+        if (odds(0.7)) return;  // it is out of the leader's reach, mostly
+        token = token_;
+        if (session >= watched_) watched_ = session, own_ = clock(i) + kLease * (1 + kDrift) + 0.5;
+      } else if (const auto may = n.custodian->may_answer(clock(i), mandate_)) {
+        n.custodian->answered(clock(i));
+        token = *may;
+      }
+      if (token == 0) return;
+      later(between(0, 1), [this, session, sent, token, i] {
+        if (session != worker_ || token < mandate_ || (t_ - renewed_) * worker_rate_ > kLease) return;
+        kept_ += i != leader_ && sent > renewed_;
+        mandate_ = token;
+        renewed_ = std::max(renewed_, sent);
+      });
+    });
+  }
+  void trouble() {
+    later(between(2, 30), [this] { trouble(); });
+    const std::size_t i = rng_(3);
+    switch (rng_(4)) {
+      case 0:
+        nodes_[i].cut_until = t_ + between(1, 90);
+        return;
+      case 1:  // a restart
+        ++nodes_[i].life;
+        nodes_[i].born = clock(i);
+        nodes_[i].knows = 0;
+        nodes_[i].custodian = std::make_unique<Custodian>(kSpan);
+        if (i == leader_) lead((i + 1) % 3);
+        return;
+      case 2:
+        if (i != leader_) lead(i);
+        return;
+      default:
+        nodes_[i].cut_until = t_;
+    }
+  }
+  void judge() {
+    if (watched_ == 0 || grants_->lease_end(own_) > clock(leader_)) return;
+    ++ends_;
+    // Sessions up to the one that was heard of last must be over.
+    if (worker_ <= watched_ && (t_ - renewed_) * worker_rate_ <= kLease) ++wrong_;
+    watched_ = 0;
+  }
+
+  pcg32 rng_;
+  double t_ = 0, worker_rate_ = 1, renewed_ = 0;
+  std::multimap<double, std::function<void()>> events_;
+  Node nodes_[3];
+  std::unique_ptr<Grants> grants_;
+  std::size_t leader_ = 0;
+  std::uint64_t token_ = 0, worker_ = 1, watched_ = 0, mandate_ = 0;
+  Seconds own_ = 0;
+  int wrong_ = 0, ends_ = 0, kept_ = 0;
+};
+
+TEST(Custody, ALeaseTakenForOverIsOver) {
+  int ends = 0, kept = 0;
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    Truth truth(seed);
+    truth.play(600);
+    ASSERT_EQ(truth.wrong(), 0) << "seed " << seed;
+    ends += truth.ends();
+    kept += truth.kept();
+  }
+  EXPECT_GT(ends, 1000);
+  EXPECT_GT(kept, 10'000);
+}
+
+TEST(Custody, AGrantCountsFromItsAskingAndEndsWithANewerLeader) {
+  Custodian c(kSpan);
+  c.granted(7, 100);
+  EXPECT_EQ(c.may_answer(139, 7), 7U);
+  EXPECT_EQ(c.may_answer(139, 8), std::nullopt) << "the worker would drop the answer";
+  EXPECT_EQ(c.may_answer(140, 7), std::nullopt);
+  c.granted(7, 120);
+  c.heard(8);
+  EXPECT_EQ(c.may_answer(121, 7), std::nullopt);
+  c.granted(7, 130);  // came late
+  EXPECT_EQ(c.may_answer(131, 7), std::nullopt);
+}
+
+TEST(Links, ACutZoneIsNotTakenForLostMachines) {
+  health::Links links(5);
+  links.begin(0);
+  links.expected(0, 200);
+  links.expected(1, 4);
+  for (double t = 1; t < 10; t += 0.05) links.heard(0, t);
+  links.heard(1, 9);
+  EXPECT_FALSE(links.quiet(0, 10));
+  EXPECT_TRUE(links.quiet(0, 10.5)) << "forty reports a second, and none for half of one";
+  EXPECT_FALSE(links.quiet(1, 20)) << "four machines are silent for that long now and then";
+  EXPECT_FALSE(links.cut(0, 10.5));
+  EXPECT_TRUE(links.cut(0, 12.5));
+  EXPECT_TRUE(links.cut(1, 60));
+  // A call sent at 9 s failed: lost if others were heard after it had been out for a second, and not before.
+  EXPECT_FALSE(links.lost_alone(0, 9));
+  EXPECT_TRUE(links.heard(0, 12.5));
+  EXPECT_TRUE(links.lost_alone(0, 9)) << "whoever counts failures leaves out those from before back_at()";
+  EXPECT_EQ(links.back_at(0), 12.5);
+}
+
+}  // namespace
+}  // namespace wingtrail::custody
