--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -268,6 +268,12 @@
   total("wingtrail_tasks_reclaimed_total", "tasks stopped for another team's guarantee", s.reclaimed);
   total("wingtrail_machines_examined_total", "machines looked at to place tasks", s.machines_examined);
   total("wingtrail_jobs_examined_total", "jobs looked at to place tasks", s.jobs_examined);
+  total("wingtrail_custody_answers_total", "workers' reports answered without the right to give orders",
+        s.custody_answers);
+  total("wingtrail_grants_total", "grants of custody given as leader", s.grants);
+  total("wingtrail_aborts_put_off_total", "cancellations put off because a task is out of reach",
+        s.aborts_put_off);
+  total("wingtrail_alarms_total", "times that every machine was asked whether it lives", s.alarms);
   total("wingtrail_orders_total", "orders sent to workers", s.orders);
   total("wingtrail_commits_total", "transactions committed as leader", s.commits);
   total("wingtrail_machines_hired_total", "machines rented", s.hired);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -114,6 +114,7 @@
   s.jobs_examined = scheduler_.jobs_examined();
   s.preempted = scheduler_.preempted();
   s.reclaimed = scheduler_.reclaimed();
+  s.alarms = agents_.sweeps();
   s.settled_after_s = agents_.cleared_after();
   s.leading = entitled();
   return s;
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -39,7 +39,7 @@
   std::uint64_t ends_written = 0, roster_written = 0, progress_written = 0, pages_divided = 0, malformed = 0;
   std::uint64_t chains_ready = 0, orphaned = 0;
   std::size_t live_jobs = 0, held_jobs = 0, machines = 0, record_pages = 0;
-  std::uint64_t custody_answers = 0, grants = 0, aborts_put_off = 0;
+  std::uint64_t custody_answers = 0, grants = 0, aborts_put_off = 0, alarms = 0;
   double settled_after_s = 0;
   bool leading = false;
 };
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -2,7 +2,7 @@
 // state service, the cloud, the workers and the users of the simulated cluster, in real time and with the
 // same checks.
 //   cluster --program build/wingtrail [--former older/wingtrail] [--seconds S] [--seed N] [--troubles
-//   SECONDS]
+//   SECONDS] [--end-one] [--tell]
 // With --former, all begin as that program and come back as the new one, one after the other;
 // tests/upgrade.sh builds the version in production for it.
 #include <arpa/inet.h>
@@ -19,6 +19,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <memory>
 
@@ -38,6 +39,7 @@
   double seconds = 40;
   std::uint64_t seed = 1;
   double troubles = 0;
+  bool end_one = false, tell = false;
 };
 
 // A port that was free a moment ago.
@@ -99,6 +101,14 @@
   const Verdict& run() {
     start_ = loop_.refresh();
     world_->begin();
+    say("Three controllers start; the state service, the cloud, the workers and the users are played here.");
+    if (options_.end_one) {
+      world_->at_once_after(options_.seconds * 0.35, [this] {
+        say("node-0 is killed without a word; it comes back by itself within some seconds.");
+        world_->crash(0);
+      });
+    }
+    if (options_.tell) tell();
     loop_.before_sleep([this] {
       world_->step(now());
       if (now() >= options_.seconds || !world_->verdict().broken.empty()) loop_.stop();
@@ -118,6 +128,21 @@
 
   double now() { return loop_.refresh() - start_; }
 
+  void say(const std::string& what) {
+    if (options_.tell)
+      std::cout << std::fixed << std::setprecision(0) << std::setw(4) << now() << " s  " << what << std::endl;
+  }
+  void tell() {
+    constexpr double kEvery = 5;
+    world_->at_once_after(kEvery, [this] {
+      const Verdict& v = world_->verdict();
+      say(std::to_string(v.accepted) + " jobs accepted, " + std::to_string(v.started) + " tasks started, " +
+          std::to_string(v.finished) + " jobs done, " + std::to_string(v.cancelled) + " cancelled; " +
+          (v.broken.empty() ? "no rule broken" : "A RULE WAS BROKEN"));
+      tell();
+    });
+  }
+
   static wire::Value body(const net::Request& r) {
     return wire::decode_cbor(r.body).value_or(wire::Value::object());
   }
@@ -240,6 +265,8 @@
       ->check(CLI::PositiveNumber);
   app.add_option("--seed", options.seed, "what happens");
   app.add_option("--troubles", options.troubles, "mean seconds between troubles; 0: none");
+  app.add_flag("--end-one", options.end_one, "kill one controller after a third of the time");
+  app.add_flag("--tell", options.tell, "say what is going on");
   CLI11_PARSE(app, argc, argv);
   spdlog::set_level(spdlog::level::from_str(std::getenv("LOG_LEVEL") ? std::getenv("LOG_LEVEL") : "error"));
   const auto v = wingtrail::world::Cluster(options).run();
@@ -248,6 +275,9 @@
             << " jobs done, " << v.chained << " with needs, " << v.orphans << " cancelled with one, "
             << v.cancelled << " cancelled, " << v.unfinished << " left undone, " << v.broken.size()
             << " rules broken\n";
+  if (options.tell)
+    std::cout << (v.broken.empty() ? "The rules held: no job was lost, run twice, or told wrongly.\n"
+                                   : "Rules were broken, see above.\n");
   // The time is too short for every job to end; the simulated cluster demands that, in its own time.
   return v.broken.empty() && v.finished > 0 ? 0 : 1;
 }
