--- a/src/daemon/admission.cpp
+++ b/src/daemon/admission.cpp
@@ -403,7 +403,7 @@
       try_later(*a.from);
       a.from.reset();
     }
-    waiting.push_back(std::move(a));
+    waiting.push_back(a);
   }
   aborts_.insert(aborts_.end(), waiting.begin(), waiting.end());
 }
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -305,7 +305,8 @@
   peers_[i].bounced = f.bounced;
   peers_[i].level = f.level;
   peers_[i].answers = f.answers;
-  peers_[i].modern_since = f.modern_s >= 0 ? out_.now() - f.modern_s : ports::kNever;
+  peers_[i].modern_since = ports::kNever;
+  if (f.modern_s >= 0) peers_[i].modern_since = out_.now() - f.modern_s;
   modern_since_ = all_modern() ? std::min(modern_since_, out_.now()) : ports::kNever;
   if (!f.leader.empty()) election_.heard(f.leader, f.token);
   custodian_.heard(election_.leader_token());
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -82,5 +82,18 @@
 mutant "too large a page stays whole" jobs/ledger.cpp 's/pages\[n\]\.bytes > limit && pages\.divide\(n, limit, out_\.now\(\)\)/false/'
 mutant "a cancellation mark decides" daemon/admission.cpp 's/txn\.require\(jobs::kLive \+ ref, live\["version"\]\.get<std::uint64_t>\(\)\);//'
 mutant "time proves that a start never came" agents/machine.hpp 's/phase == Phase::ordered && !unproven &&/phase == Phase::ordered \&\&/'
+mutant "a grant counts from its answer" daemon/node.cpp 's/custodian_\.granted\(r\.frame->token, asked\)/custodian_.granted(r.frame->token, out_.now())/'
+mutant "grants of earlier leaders are forgotten" custody/custody.cpp 's/p = \{now \+ span_s_, -1e9, -1e9, -1e9\}/p = {-1e9, -1e9, -1e9, -1e9}/'
+mutant "a peer's restart is not noticed" custody/custody.cpp 's/if \(born > p\.vouched\)/if (false)/'
+mutant "a peer's word counts until it is heard" custody/custody.cpp 's/p\.vouched = std::max\(p\.vouched, asked\)/p.vouched = std::max(p.vouched, now)/'
+mutant "what a peer answered is ignored" custody/custody.cpp 's/if \(word\.held_s >= 0\)/if (false)/'
+mutant "no peer's word is waited for" custody/custody.cpp 's/if \(p\.vouched < end\)/if (false)/'
+mutant "custody outlasts a newer leader" custody/custody.cpp 's/if \(token_ != token\) until_ = -1;//; s/token_ != newest_ \|\| //'
+mutant "leases end as if there were no custody" agents/agents.cpp 's/now >= link_\.lease_end\(m\.lease_until\)/true/'
+mutant "cancellations are told at once" daemon/admission.cpp 's/if \(job\.placed > 0\) return false;/return true;/'
+mutant "cancellations ask nothing of machines not heard of" daemon/admission.cpp 's/return job\.created > election_\.token\(\) \|\| /return true || /'
+mutant "a zone out of reach is taken for lost machines" health/links.hpp 's/zones_\[zone\]\.heard >= since \+ kAnswerWithin/true/'
+mutant "failures of a cut count after it" agents/agents.cpp 's/    m\.failures = 0;\n    m\.unanswered_since = ports::kNever;\n    m\.retry_at/    m.retry_at/'
+mutant "idle machines of a cut zone are returned" fleet/fleet.cpp 's/ && !cut\(m\.zone\)\) order/) order/'
 echo "$caught passed, $missed failed"
 ((missed == 0))
