--- a/model/custody.pml
+++ b/model/custody.pml
@@ -50,6 +50,11 @@
 byte start;          /* a start with this token is under way to the worker; 0: none */
 
 #define OTHER(n) (1 - n)
+#ifdef NO_VOID
+#define GRANT_HOLDS(n) true
+#else
+#define GRANT_HOLDS(n) (grant_token[n] == newest[n])
+#endif
 #define LEADS(n) (token[n] != 0 && token[n] == key_token)
 #define ENTITLED(n) (token[n] != 0 && now < auth[n])
 
@@ -228,11 +233,7 @@
   /* custody */
   :: atomic { select(n : 0 .. 1);
        if
-       :: !ENTITLED(n) && now < grant[n] && mandate <= grant_token[n]
-#ifndef NO_VOID
-          && grant_token[n] == newest[n]
-#endif
-          ->
+       :: !ENTITLED(n) && now < grant[n] && GRANT_HOLDS(n) && mandate <= grant_token[n] ->
           mandate = grant_token[n]; lease = now + LEASE; held[n] = now;
           if :: LEADS(n) -> own = OVER(now) :: else fi
        :: else
