A cancellation that is asked for again leaves one entry behind, not one for each asking; dead code goes

Cause: while a job's tasks were out of reach, every retry of its cancellation stayed in the list that each event walks. Change: one entry stands for the job, a user's is dropped once it was told to come back; Grants::last_answer and Fleet::began_, which nothing used any more, are gone.

--- a/src/custody/custody.cpp
+++ b/src/custody/custody.cpp
@@ -55,10 +55,4 @@
   return late;
 }
 
-Seconds Grants::last_answer() const {
-  Seconds last = -1e9;
-  for (const Peer& p : peers_) last = std::max(last, p.until);
-  return last;
-}
-
 }  // namespace wingtrail::custody
--- a/src/custody/custody.hpp
+++ b/src/custody/custody.hpp
@@ -73,8 +73,6 @@
   // When the lease of a worker is certainly over that this node, or nobody, renewed so that it ends at `own`.
   // At or before `now` only if the peers' words rule out that any of them has prolonged it.
   Seconds lease_end(Seconds own) const;
-  // The last moment at which any other node may still answer a report.
-  Seconds last_answer() const;
 
  private:
   struct Peer {
--- a/src/daemon/admission.cpp
+++ b/src/daemon/admission.cpp
@@ -356,12 +356,15 @@
   if (!job || !job->open()) return;
   job->intent = true;
   cancel(*job);
-  aborts_.push_back({job->ix, {}, ports::kNever});
 }
 
-// Nothing of it starts any more, and what runs is stopped.
+// Nothing of it starts any more, and what runs is stopped. One entry stands for the job until its end is
+// recorded; users who ask, and ask again, wait beside it for a moment only.
 void Node::cancel(jobs::Job& job) {
-  if (job.open()) job.aborting = true;
+  if (job.open() && !job.aborting) {
+    job.aborting = true;
+    aborts_.push_back({job.ix, {}, ports::kNever});
+  }
   agents_.cancel(job);
 }
 
@@ -379,7 +382,7 @@
 void Node::follow_aborts() {
   if (aborts_.empty() || !loaded_) return;
   std::vector<Abort> waiting;
-  for (Abort& a : std::exchange(aborts_, {})) {
+  for (const Abort& a : std::exchange(aborts_, {})) {
     jobs::Job* job = registry_.at(a.job);
     if (!job) {
       if (a.from) try_later(*a.from);
@@ -401,7 +404,7 @@
     if (a.from && out_.now() >= a.until) {
       ++stats_.aborts_put_off;
       try_later(*a.from);
-      a.from.reset();
+      continue;
     }
     waiting.push_back(a);
   }
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -33,7 +33,6 @@
 void Fleet::begin() {
   end();
   active_ = true;
-  began_ = out_.now();
   list_at_ = 0;
   rent_at_ = out_.now() + 1;
 }
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -104,7 +104,7 @@
   store::Bucket calls_;
   bool active_ = false, listing_ = false, returning_ = false;
   Seconds ticked_at_ = 0, judge_after_ = 0;
-  Seconds list_at_ = 0, rent_at_ = 0, began_ = 0, excess_since_ = 0;
+  Seconds list_at_ = 0, rent_at_ = 0, excess_since_ = 0;
   double smooth_flexible_ = -1, smooth_ordinary_ = -1;
   std::uint64_t counter_ = 0, term_ = 0, hired_ = 0, returned_ = 0;
 };
