Scheduler and fleet divided by concern; what holds a task back becomes an ordered set of gates

Change: code only moved (aims, reservations, placement, preemption, demand; renting, returning, shedding); limits, zones, failures, needs and accounted are gates, one file each, in a package of their own.

--- a/src/agents/machine.hpp
+++ b/src/agents/machine.hpp
@@ -1,6 +1,7 @@
 // A machine as the leader knows it, and the tasks on it.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -99,6 +100,9 @@
   bool in_doubt = false, counted_unsettled = false;
   double doubt_cpus = 0, doubt_gpus = 0;
 
+  bool busy() const {
+    return std::any_of(slots.begin(), slots.end(), [](const Slot& s) { return s.counted; });
+  }
   bool has_image(Ix image) const {
     for (const auto& i : images) {
       if (i.first == image) return true;
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "agents/agents.hpp"
+#include "gates/gate.hpp"
 
 namespace wingtrail::sched {
 
@@ -48,10 +49,7 @@
   void offered(const Job& job);  // it is new to the service
   // Whether another machine with the job's image could take a task over from this one.
   bool could_move(const Job& job, const Machine& from);
-  bool allowed(const Machine& m, const Job& job) const;
-  // Whether every task of the job that an earlier leader could have started is known.
-  bool accounted(const Job& job) const;
-  bool allowed(const Job& job, Ix type, Ix zone, bool spot) const;
+  const gates::Gates& gates() const { return gates_; }
   // Jobs with tasks that wait for a machine.
   const std::vector<Ix>& waiting() const { return waiting_; }
   // How many machines and jobs were looked at, for what was started; to show that neither grows with the
@@ -74,8 +72,6 @@
   };
   bool startable(const Job& job) const;
   bool can_start(const Machine& m, const Job& job, bool ignore_room = false) const;
-  bool quota_allows(const Job& job, double tasks = 1) const;
-  bool zone_allows(Ix zone, const Job& job) const;
   bool under_guarantee(const Job& job) const;
   bool before(const Job& a, const Job& b) const;
   bool gang_fits(const Job& job);
@@ -117,7 +113,7 @@
   const settings::Settings& settings_;
   jobs::Registry& registry_;
   agents::Agents& agents_;
-  std::function<std::uint64_t()> token_;
+  gates::Gates gates_;
   pcg32 rng_;
   std::vector<wire::MachineType> catalog_;
   std::vector<std::vector<Reservation>> queues_;  // by machine
