Spread: services beside work that gives way, limits that leave them room, spare machines where room is guaranteed

A surge found a fleet of the usual load's size. Change: a picture of the load by team and class (src/spread); services go where they crowd least and may stop arrays that lose no aim by it; arrays leave what services may ask for within the limit; spare room where teams are guaranteed some.

--- a/src/daemon/admission.cpp
+++ b/src/daemon/admission.cpp
@@ -374,7 +374,8 @@
 bool Node::gone_for_sure(const jobs::Job& job) const {
   if (settings_.tunables.custody_leases <= 0) return true;
   if (job.placed > 0) return false;
-  return job.created > election_.token() || (scheduler_.gates().accounted().open(job) && agents_.unknown() == 0);
+  return job.created > election_.token() ||
+         (scheduler_.gates().accounted().open(job) && agents_.unknown() == 0);
 }
 
 // Cancellations whose tasks are gone are recorded, and told then. While a task's machine does not answer, the
--- a/src/fleet/fleet.hpp
+++ b/src/fleet/fleet.hpp
@@ -69,6 +69,7 @@
   double fill(bool spot, double cores, const char* why);
   bool refused(const Pool& pool) const;
   Seconds boot_s() const;
+  double spare() const;
   const wire::MachineType* type(Ix type) const;
   void ask(const Pool& pool, int count, const char* why);
   void send(Hire& hire);
--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -63,6 +63,13 @@
   return missing;
 }
 
+// What is kept beyond the load of arrays. A team that is guaranteed room may ask for it at once, and a surge
+// that meets a fleet of the usual load's size waits for boots.
+double Fleet::spare() const {
+  const settings::Tunables& t = settings_.tunables;
+  return t.spread && scheduler_.roomy() ? std::max(t.headroom, t.surge_spare) : t.headroom;
+}
+
 void Fleet::rent() {
   const auto d = scheduler_.demand(boot_s());
   // Short swings are not worth a boot: the load counts as its recent mean, and beyond that what waits and
@@ -74,7 +81,7 @@
   double ordinary = cores(false);
   const double spot = cores(true);
   const double headroom = settings_.tunables.headroom;
-  const double flexible = std::max(smooth_flexible_ * (1 + headroom), flexible_now);
+  const double flexible = std::max(smooth_flexible_ * (1 + spare()), flexible_now);
   // Services keep the loss of one machine in reserve.
   const double want_ordinary = d.ordinary > 0 ? d.ordinary * (1 + headroom / 2) + largest_ / 2 : 0;
   const double want_total = d.ordinary * (1 + headroom / 2) + flexible;
--- a/src/fleet/shedding.cpp
+++ b/src/fleet/shedding.cpp
@@ -15,7 +15,7 @@
   const double headroom = settings_.tunables.headroom;
   const double services = std::max(d.ordinary, smooth_ordinary_) * (1 + headroom / 2);
   const double keep_ordinary = services + largest_ / 2;
-  const double keep_total = services + std::max(smooth_flexible_, d.flexible) * (1 + headroom);
+  const double keep_total = services + std::max(smooth_flexible_, d.flexible) * (1 + spare());
   double excess = ordinary + spot - keep_total, excess_ordinary = ordinary - keep_ordinary;
   const Seconds now = out_.now();
   // A move costs a replica a moment, so only some move at a time; but of a thousand more than of ten, or a
--- a/src/gates/gate.cpp
+++ b/src/gates/gate.cpp
@@ -5,12 +5,12 @@
 namespace wingtrail::gates {
 
 Gates::Gates(const ports::Outbox& out, const settings::Settings& settings, const agents::Agents& agents,
-             std::function<std::uint64_t()> token) {
+             const spread::Picture& picture, std::function<std::uint64_t()> token) {
   add(needs());
   add(failures(out));
   accounted_ = add(std::make_unique<Accounted>(agents, std::move(token)));
   zones_ = add(std::make_unique<Zones>());
-  limits_ = add(std::make_unique<Limits>(settings, agents));
+  limits_ = add(std::make_unique<Limits>(out, settings, agents, picture));
 }
 
 const Gate* Gates::shut(const Job& job) const {
--- a/src/gates/gate.hpp
+++ b/src/gates/gate.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "agents/agents.hpp"
+#include "spread/picture.hpp"
 
 namespace wingtrail::gates {
 
@@ -58,23 +59,27 @@
 // The most that a team may use.
 class Limits : public Gate {
  public:
-  Limits(const settings::Settings& settings, const agents::Agents& agents)
-      : settings_(settings), agents_(agents) {}
+  Limits(const ports::Outbox& out, const settings::Settings& settings, const agents::Agents& agents,
+         const spread::Picture& picture)
+      : out_(out), settings_(settings), agents_(agents), picture_(picture) {}
   std::string_view name() const override { return "limits"; }
   bool open(const Machine&, const Job& job) const override { return open_for(job, 1); }
   // Room within the limit for that many tasks at once.
   bool open_for(const Job& job, double tasks) const;
 
  private:
+  double kept_for_services(const Job& job) const;
+  const ports::Outbox& out_;
   const settings::Settings& settings_;
   const agents::Agents& agents_;
+  const spread::Picture& picture_;
 };
 
 // The gates in their order.
 class Gates {
  public:
   Gates(const ports::Outbox& out, const settings::Settings& settings, const agents::Agents& agents,
-        std::function<std::uint64_t()> token);
+        const spread::Picture& picture, std::function<std::uint64_t()> token);
   // Whether the job's next task may start somewhere, were there room.
   bool open(const Job& job) const { return !shut(job); }
   bool open(const Machine& m, const Job& job) const;
--- a/src/jobs/registry.cpp
+++ b/src/jobs/registry.cpp
@@ -65,6 +65,7 @@
   ++job.placed;
   if (job.in_zone.size() <= zone) job.in_zone.resize(zone + 1);
   ++job.in_zone[zone];
+  if (on_placed) on_placed(job, zone, 1);
 }
 
 void Registry::set_running(Job& job, std::uint32_t task, bool running) {
@@ -80,6 +81,7 @@
   ++job.lost;
   --job.placed;
   --job.in_zone[zone];
+  if (on_placed) on_placed(job, zone, -1);
   if (on_pending) on_pending(job);
 }
 
@@ -92,6 +94,7 @@
     set_running(job, task, false);
     --job.placed;
     if (zone != kNone) --job.in_zone[zone];
+    if (zone != kNone && on_placed) on_placed(job, zone, -1);
   }
   t = {TaskState::done, false, kNone, 0};
   ++job.done;
--- a/src/jobs/registry.hpp
+++ b/src/jobs/registry.hpp
@@ -93,6 +93,8 @@
   Names teams, images, classes, zones, types;
 
   std::function<void(Job&)> on_pending;  // one of its tasks waits again
+  // So many of its tasks came to that zone, or left it if there are less than none.
+  std::function<void(const Job&, Ix zone, int tasks)> on_placed;
 
   Job& add(const wire::JobSpec& spec, std::uint64_t created, Seconds submitted);
   double image_gb(Ix image) const { return image < image_gb_.size() ? image_gb_[image] : 0; }
--- a/src/sched/aims.cpp
+++ b/src/sched/aims.cpp
@@ -50,18 +50,6 @@
   return ports::kNever;
 }
 
-// By its class's aims, by what needs it, or, without any of these, by its own deadline.
-template <typename F>
-void Scheduler::each_due(const Job& job, F f) const {
-  bool any = false;
-  for (const Aim& aim : aims(job.job_class)) {
-    const Seconds at = by(job, aim);
-    if (at != ports::kNever) f(at), any = true;
-  }
-  if (job.latest != ports::kNever) f(job.latest), any = true;
-  if (!any && job.spec.deadline_s) f(job.submitted + *job.spec.deadline_s);
-}
-
 // How many of the times it should be over by the job cannot meet any more.
 int Scheduler::lateness(const Job& job, Seconds later) const {
   const Seconds over = out_.now() + later + estimate(job);
--- a/src/sched/demand.cpp
+++ b/src/sched/demand.cpp
@@ -25,6 +25,7 @@
 }
 
 void Scheduler::offered(const Job& job) {
+  picture_.came(job, job.spec.tasks * job.spec.need.cpus * std::max(1.0, estimate(job)), out_.now());
   if (job.service() || !flexible(job)) return;
   const Seconds now = out_.now();
   offered_ *= std::exp(-(now - offered_at_) / kOfferedOver);
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -71,11 +71,85 @@
   return best;
 }
 
+// Room that is guaranteed to teams has to be there, used or not; a fleet that guarantees none, or whose aims
+// name money, is kept as small as its load allows.
+bool Scheduler::roomy() const {
+  const auto& all = settings_.teams;
+  return std::any_of(all.begin(), all.end(), [](const auto& t) { return t.cpus > 0 || t.gpus > 0; }) &&
+         std::none_of(settings_.objectives.begin(), settings_.objectives.end(),
+                      [](const auto& o) { return o.kind == "price" || o.kind == "useful"; });
+}
+
+// Within what time the class's tasks should start; nothing is won by starting sooner.
+Seconds Scheduler::wait_aim(const Job& job) const {
+  Seconds least = 0;
+  for (const auto& o : settings_.objectives) {
+    if (o.kind == "wait" && o.job_class == registry_.classes[job.job_class])
+      least = least > 0 ? std::min(least, o.within_s) : o.within_s;
+  }
+  return least;
+}
+
+// Whether a fetch of that long ends within the aim.
+bool Scheduler::in_time(const Job& job, Seconds fetch) const {
+  constexpr double kFetchVaries = 1.33;  // PROTOCOL: give or take a third
+  constexpr Seconds kOnTheWay = 0.3;     // submission, order and report
+  return out_.now() - job.since + fetch * kFetchVaries + kOnTheWay < wait_aim(job);
+}
+
+// What it is worth, in seconds, to put the service's next task elsewhere than on this machine. Its image is
+// needed where it can be had at once later on: beside work that gives way. A machine full of services has no
+// such place, however many images it holds, and takes more of them with it when it is lost.
+double Scheduler::crowding(const Machine& m, const Job& job) const {
+  constexpr double kFull = 4;  // a machine full of services, against one without any
+  double services = 0;
+  for (const Slot& slot : m.slots) {
+    const Job* other = registry_.at(slot.job);
+    if (slot.counted && other && other->service()) services += slot.need.cpus;
+  }
+  double cost = kFull * services / std::max(m.cpus, 1.0) + waiting(m, job);
+  // A fetch that ends within the aim costs nothing.
+  if (m.has_image(job.image) || m.type >= catalog_.size() || catalog_[m.type].fetch_gb_per_s <= 0)
+    return cost;
+  const double fetch = job.spec.image_gb / catalog_[m.type].fetch_gb_per_s;
+  if (in_time(job, fetch)) cost -= fetch;
+  return cost;
+}
+
+// For a service on a fleet that need not be kept small: of machines with its image and of all others, some of
+// the emptiest and some drawn, the one that is least crowded with services.
+Machine* Scheduler::least_crowded(const Job& job) {
+  Machine* best = nullptr;
+  double best_cost = 0;
+  const auto look = [&](Ix ix) {
+    Machine& m = agents_.at(ix);
+    ++machines_examined_;
+    if (!can_start(m, job)) return;
+    const double cost = crowding(m, job);
+    if (!best || cost < best_cost) best = &m, best_cost = cost;
+  };
+  for (const Index::Pool& p : agents_.index().pools()) {
+    if (p.short_only || !gates::allowed(job, p.type, p.zone, p.spot) || !gates_.zones().open_in(p.zone, job))
+      continue;
+    for (const Index::Group* group : {p.with(job.image), &p.all}) {
+      if (!group) continue;
+      auto it = group->room.rbegin();
+      for (int n = 0; it != group->room.rend() && n < settings_.tunables.steal_sample; ++n)
+        look((it++)->second);
+      if (group->members.empty()) continue;
+      for (int n = 0; n < settings_.tunables.steal_sample; ++n)
+        look(group->members[rng_(static_cast<std::uint32_t>(group->members.size()))]);
+    }
+  }
+  return best;
+}
+
 void Scheduler::place_long(Job& job) {
+  const bool spread_out = settings_.tunables.spread && job.service() && roomy();
   // A gang that lost a task starts again as a whole, once the others have noticed and ended.
   if (job.gang() && (job.placed > 0 || !gang_fits(job))) return;
   while (startable(job)) {
-    Machine* m = least_waiting(job);
+    Machine* m = spread_out ? least_crowded(job) : least_waiting(job);
     if (!m) {
       if (!preempt_for(job, {})) return;
       continue;
@@ -84,7 +158,8 @@
     // and has not run for longer than the fetch takes: its job waits for that once more.
     constexpr double kFetchWorthPreempting = 1.0;
     const double wait = waiting(*m, job);
-    if (job.service() && wait > kFetchWorthPreempting && preempt_for(job, wait)) continue;
+    const bool worth = wait > kFetchWorthPreempting && !(spread_out && in_time(job, wait));
+    if (job.service() && worth && preempt_for(job, wait)) continue;
     start(*m, job);
   }
 }
--- a/src/sched/preemption.cpp
+++ b/src/sched/preemption.cpp
@@ -40,7 +40,7 @@
       after.used.gpus -= m.slots[s].need.gpus;
       after.used.memory_gb -= m.slots[s].need.memory_gb;
       cost += 1 + age(s);
-      lost += age(s);
+      lost += settings_.tunables.spread && harmless(m.slots[s]) ? 0 : age(s);
       victims.push_back(s);
     }
     if (lost > most_lost_s || victims.empty() || !after.fits(job.spec.need)) continue;
@@ -48,11 +48,24 @@
   }
 }
 
+// Whether the task's job meets the same aims if the task has to run once more from now on.
+bool Scheduler::harmless(const Slot& slot) const {
+  const Job* job = registry_.at(slot.job);
+  if (!job || slot.running_since <= 0) return true;
+  constexpr Seconds kSomewhere =
+      10;  // until it finds room again; on a full fleet some task ends all the time
+  const Seconds run = estimate(*job), ends = slot.running_since + run, later = out_.now() + kSomewhere + run;
+  bool same = true;
+  each_due(*job, [&](Seconds at) { same &= (ends <= at) == (later <= at); });
+  return same;
+}
+
 // Makes room for a task of higher priority by stopping lower ones on one machine, and starts it there.
 bool Scheduler::preempt_for(Job& job, std::optional<double> saves_s) {
   const double most_lost_s = saves_s.value_or(1e9);
   // When all that runs is as important, every search is in vain; a few a pass notice when that changes.
-  if (vain_ >= settings_.tunables.steal_sample || !startable(job) || fails_everywhere(job)) return false;
+  int& vain = vain_[static_cast<std::size_t>(job.priority)];
+  if (vain >= settings_.tunables.steal_sample || !startable(job) || fails_everywhere(job)) return false;
   Preemption best;
   for (const bool cached : {true, false}) {
     for (const Index::Pool& p : agents_.index().pools()) {
@@ -67,7 +80,7 @@
     if (best.where || saves_s) break;
   }
   if (!best.where) {
-    ++vain_;
+    ++vain;
     return false;
   }
   preempted_ += best.victims.size();
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -13,8 +13,10 @@
       settings_(settings),
       registry_(registry),
       agents_(agents),
-      gates_(out, settings, agents, std::move(token)),
-      rng_(seed) {}
+      gates_(out, settings, agents, picture_, std::move(token)),
+      rng_(seed) {
+  registry_.on_placed = [this](const Job& job, Ix zone, int tasks) { picture_.placed(job, zone, tasks); };
+}
 
 void Scheduler::set_catalog(const std::vector<wire::MachineType>& catalog) {
   for (const auto& t : catalog) {
@@ -33,6 +35,7 @@
   in_waiting_.clear();
   long_.clear();
   job_times_.clear();
+  picture_.clear();
   offered_ = 0;
 }
 
@@ -70,6 +73,7 @@
 }
 
 void Scheduler::over(const Job& job) {
+  picture_.ended(job);
   reserved_.erase(job.ix);
   job_times_.erase(job.ix);
 }
@@ -84,6 +88,7 @@
     m.health = agents::Health::good;
     job->ever_ok = true;
     const double took = now - slot.running_since;
+    picture_.delivered(*job, took * job->spec.need.cpus, now);
     if (slot.running_since <= 0 || took < 0.5) return;  // it was seen only at its end
     auto& [mean, n] = job_times_[job->ix];
     if (n >= 3) {
@@ -134,7 +139,7 @@
 }
 
 void Scheduler::pass() {
-  vain_ = 0;
+  vain_.fill(0);
   const bool second = out_.now() - last_second_ >= 1;
   if (second) {
     agents_.watch_spot(std::min(2.0, out_.now() - last_second_));
@@ -172,6 +177,19 @@
     if (missing > 0 && reserved_[job->ix] < missing) reserve(*job, missing - reserved_[job->ix]);
   }
   if (second && !waiting_.empty()) reclaim_guarantees();
+  if (second) look_at_waiting();
+}
+
+// Of every job that waits, why.
+void Scheduler::look_at_waiting() {
+  picture_.look();
+  for (const Ix ix : waiting_) {
+    const Job* job = registry_.at(ix);
+    if (!job || !job->open() || job->pending.empty()) continue;
+    bool late = true;
+    each_due(*job, [&](Seconds at) { late &= out_.now() > at; });
+    picture_.waits(*job, gates_.reason(*job), out_.now() - job->since, late && !job->service());
+  }
 }
 
 }  // namespace wingtrail::sched
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -3,12 +3,14 @@
 // what was changed and why.
 #pragma once
 
+#include <array>
 #include <pcg_random.hpp>
 #include <unordered_map>
 #include <vector>
 
 #include "agents/agents.hpp"
 #include "gates/gate.hpp"
+#include "spread/picture.hpp"
 
 namespace wingtrail::sched {
 
@@ -46,10 +48,12 @@
   Demand demand(Seconds boot_s);
   // The part of its waiting tasks for which the job needs room of its own to be in time.
   double pressing(const Job& job, Seconds boot_s) const;
+  bool roomy() const;            // whether room may stand idle
   void offered(const Job& job);  // it is new to the service
   // Whether another machine with the job's image could take a task over from this one.
   bool could_move(const Job& job, const Machine& from);
   const gates::Gates& gates() const { return gates_; }
+  const spread::Picture& picture() const { return picture_; }
   // Jobs with tasks that wait for a machine.
   const std::vector<Ix>& waiting() const { return waiting_; }
   // How many machines and jobs were looked at, for what was started; to show that neither grows with the
@@ -86,8 +90,17 @@
   };
   const std::vector<Aim>& aims(Ix job_class) const;
   Seconds by(const Job& job, const Aim& aim) const;
+  // By its class's aims, by what needs it, or, without any of these, by its own deadline.
   template <typename F>
-  void each_due(const Job& job, F f) const;
+  void each_due(const Job& job, F f) const {
+    bool any = false;
+    for (const Aim& aim : aims(job.job_class)) {
+      const Seconds at = by(job, aim);
+      if (at != ports::kNever) f(at), any = true;
+    }
+    if (job.latest != ports::kNever) f(job.latest), any = true;
+    if (!any && job.spec.deadline_s) f(job.submitted + *job.spec.deadline_s);
+  }
   Seconds due(const Job& job, Seconds later) const;
   int lateness(const Job& job, Seconds later = 0) const;
   double work_left(const Job& job) const;
@@ -99,12 +112,18 @@
   void place_short(Job& job);
   // The machine where the job could begin soonest, of some that have its image and some others.
   Machine* least_waiting(const Job& job, bool cached_only = false);
+  Machine* least_crowded(const Job& job);
+  double crowding(const Machine& m, const Job& job) const;
+  bool in_time(const Job& job, Seconds fetch) const;
+  Seconds wait_aim(const Job& job) const;
+  void look_at_waiting();
   double waiting(const Machine& m, const Job& job) const;
   double spot_risk_s(const Machine& m, const Job& job) const;
   bool flexible(const Job& job) const;
   // `saves_s`: the wait that it is to spare the task; nothing: there is no other way.
   bool preempt_for(Job& job, std::optional<double> saves_s);
   void consider_preempting(const Index::Group& group, const Job& job, double most_lost_s, Preemption& best);
+  bool harmless(const Slot& slot) const;
   void reclaim_guarantees();
   std::size_t reclaim_from(Job& victim, Job& job);
   void partition();
@@ -113,6 +132,7 @@
   const settings::Settings& settings_;
   jobs::Registry& registry_;
   agents::Agents& agents_;
+  spread::Picture picture_;
   gates::Gates gates_;
   pcg32 rng_;
   std::vector<wire::MachineType> catalog_;
@@ -133,7 +153,9 @@
   double offered_ = 0;  // cores that flexible work would keep busy at the rate at which it has been coming
   Seconds offered_at_ = 0;
   Seconds last_second_ = 0;
-  int vain_ = 0;  // preemptions sought in vain in this pass
+  // Preemptions sought in vain in this pass, by priority: arrays that find nothing lower to stop must not use
+  // up what services may try (on busy days of roamkvitto-core-fleet they did, and services fetched instead).
+  std::array<int, 4> vain_{};
   std::uint64_t machines_examined_ = 0, jobs_examined_ = 0, started_ = 0, preempted_ = 0, reclaimed_ = 0;
 };
 
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -41,7 +41,9 @@
   double idle_return_s = 60.0;         // idle time after which a machine may be returned
   double replica_moves = 0.005;        // of all replicas, how many may move in a second to empty machines
   double headroom = 0.15;              // spare capacity, as a share of the load
-  double progress_flush_s = 1.0;       // how often completed tasks are persisted
+  int spread = 0;                      // 1: the decisions of docs/spread.md
+  double surge_spare = 1.2;       // of the load of arrays, what is kept for a surge where room is guaranteed
+  double progress_flush_s = 1.0;  // how often completed tasks are persisted
 };
 
 struct Settings {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -76,6 +76,7 @@
   if (plan.chains) plan.settle_s = 1500;
   plan.upgrade = seed % 3 == 0;
   plan.cuts = seed % 5 < 2;
+  plan.spread = seed / 2 % 2 == 0;
   return plan;
 }
 
@@ -93,6 +94,7 @@
   settings_.tunables.idle_return_s = plan_.idle_return_s;
   wire::MachineType a{"big", 16, 0, 64, 50, 1.0, 1.0, 0.4, 12, {"z0", "z1"}};
   wire::MachineType b{"small", 8, 0, 32, 50, 1.0, 0.6, 0.2, 8, {"z0", "z1"}};
+  settings_.tunables.spread = plan_.spread;
   catalog_ = {a, b};
   zone_cuts_.resize(settings_.zones.size());
   for (std::size_t i = 0; i < kNodes; ++i) {
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -38,6 +38,7 @@
   // machines that hang, a slow state service.
   bool cuts = false;
   double undeclared = 1;  // the share of the limits in the settings that the state service really grants
+  bool spread = false;    // the decisions of docs/spread.md
   // A fault planted on purpose, to show that a check can fail. See docs/safety.md.
   std::string sabotage;
 };
