Spread: slow machines are told by their tasks, what has long to run there moves; aims are met cheapest first

Cause: machines at half or a third of their speed kept their work; a job that had waited past its first aim fell behind large ones that had just come; guarantees were taken back from the same tasks again and again for jobs with time left. Change: a sequential test of each machine's tasks against their jobs' others; moves as small state machines with a kept place, a budget and named causes; jobs in the order of core-seconds for each aim that they can still meet; guarantees are taken back after 0.4 of the time a job can spare.

--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -314,6 +314,7 @@
   s.attempt = t.attempt;
   s.ordered_at = out_.now();
   s.name = wire::task_name(t.ref, t.index);
+  s.adopted = true;
   jobs::Job* job = registry_.find(t.ref);
   const bool over = !job || !job->open();
   bool usable = job && t.index < job->tasks.size();
@@ -504,6 +505,11 @@
   for (const Ix ix : live_) spot_seconds_ += machines_[ix].spot && machines_[ix].reporting ? span : 0;
 }
 
+void Agents::keep(Machine& m, const wire::Resources& need, double sign) {
+  add(m.used, need, sign);
+  changed(m);
+}
+
 void Agents::gone(Machine& m) {
   if (m.gone) return;
   // Returned for silence counts as taken: most that fall silent without a notice were.
--- a/src/agents/agents.hpp
+++ b/src/agents/agents.hpp
@@ -66,6 +66,8 @@
   std::optional<wire::Value> report(const wire::Report& report, bool orders = true);
   bool start(Machine& m, jobs::Job& job, std::uint32_t task);
   void stop(Machine& m, Slot& slot, double grace_s);
+  // Keeps room for a task that moves here (sign 1), or gives it up (-1).
+  void keep(Machine& m, const wire::Resources& need, double sign);
   void cancel(jobs::Job& job);
   // Ends of tasks that are persisted now: their workers need not report them any longer.
   void forget(const std::vector<jobs::Ledger::Ended>& ended);
--- a/src/agents/machine.hpp
+++ b/src/agents/machine.hpp
@@ -39,8 +39,9 @@
   // knows the attempt, so the attempt must not be forgotten (PROTOCOL: after `reap` a repeated start starts
   // it again).
   bool late_copy = false;
-  bool forget = false;  // its end is persisted
-  bool counted = true;  // it still occupies its machine
+  bool forget = false;   // its end is persisted
+  bool counted = true;   // it still occupies its machine
+  bool adopted = false;  // found running, so its run time is not known here
   bool of(const std::string& ref) const {
     return name.size() > ref.size() && name[ref.size()] == '/' && name.compare(0, ref.size(), ref) == 0;
   }
@@ -72,7 +73,7 @@
   std::optional<Seconds> reclaim_at;
   std::vector<Slot> slots;
   double cpus = 0, gpus = 0, memory_gb = 0;    // of the machine
-  wire::Resources used;                        // by counted slots
+  wire::Resources used;                        // by counted slots, and kept for tasks that move here
   int unknown = 0;                             // counted slots whose needs are not known
   std::vector<std::pair<Ix, Seconds>> images;  // seen here, with the last use
   // direct orders
@@ -91,6 +92,7 @@
   std::vector<Ix> failed_jobs;  // since the last success
   double slowness = 1;          // observed run time against its jobs' mean
   int slow_samples = 0;
+  double slow = 1;  // how many times as long tasks take, once the evidence is beyond doubt
   // how the index holds it
   bool stale = false;
   Ix pool = kNone;  // kNone: it takes no work
--- a/src/fleet/fleet.cpp
+++ b/src/fleet/fleet.cpp
@@ -185,7 +185,7 @@
     if (counts(m)) {
       Stock& stock = stock_[{m.type, m.zone, m.spot}];
       // What runs in a zone out of reach goes on, but nothing more can be started there.
-      stock.cores += cut(m.zone) ? m.used.cpus : m.cpus;
+      stock.cores += cut(m.zone) ? m.used.cpus : m.cpus / m.slow;
       ++stock.machines;
       largest_ = std::max(largest_, m.cpus);
     }
--- a/src/fleet/shedding.cpp
+++ b/src/fleet/shedding.cpp
@@ -49,6 +49,7 @@
     if (m.reporting && counts(m) && !cut(m.zone)) order.push_back(&m);
   }
   std::stable_sort(order.begin(), order.end(), [](const Machine* a, const Machine* b) {
+    if ((a->slow > 1) != (b->slow > 1)) return a->slow > 1;
     return a->used.cpus / std::max(1.0, a->cpus) < b->used.cpus / std::max(1.0, b->cpus);
   });
   // A machine is worth keeping idle for as long as another one would boot for nothing.
@@ -86,6 +87,10 @@
   for (agents::Slot& s : m.slots) {
     const jobs::Job* job = registry_.at(s.job);
     if (!job || !job->service() || s.phase != agents::Slot::Phase::running || s.stop) continue;
+    if (settings_.tunables.spread) {
+      if (scheduler_.move(m, s, spread::Cause::emptied)) return true;
+      continue;
+    }
     if (!scheduler_.could_move(*job, m)) continue;
     agents_.stop(m, s, 0);
     return true;
--- a/src/sched/aims.cpp
+++ b/src/sched/aims.cpp
@@ -76,12 +76,31 @@
   return (job.spec.tasks - job.done) * job.spec.need.cpus * std::max(1.0, estimate(job));
 }
 
+// Core-seconds that the job still has to be given for each of its aims that it can meet; without any, behind
+// all that can meet one. When not all can be in time, the cheapest aims first meet the most of them. What is
+// placed already is paid for, so a job that lacks a few tasks comes before one that has yet to begin; and one
+// that has waited past a first aim does not fall behind large ones that have just come (a class at eight
+// times its rate on roamkvitto-core-fleet).
+double Scheduler::price_of_aims(const Job& job) const {
+  constexpr double kNone = 1e12;
+  const Seconds over = out_.now() + estimate(job);
+  int meets = 0;
+  each_due(job, [&](Seconds at) { meets += over <= at; });
+  const double work =
+      static_cast<double>(job.pending.size()) * job.spec.need.cpus * std::max(1.0, estimate(job));
+  return meets > 0 ? work / meets : kNone + work;
+}
+
 // Guarantees come first (DESIGN names this weakness: a swarming team's reservations queue ahead of
 // everyone's), then priority, then what can still be in time.
 bool Scheduler::before(const Job& a, const Job& b) const {
   const bool ga = under_guarantee(a), gb = under_guarantee(b);
   if (ga != gb) return ga;
   if (a.priority != b.priority) return a.priority > b.priority;
+  if (settings_.tunables.spread) {
+    const double pa = price_of_aims(a), pb = price_of_aims(b);
+    return pa != pb ? pa < pb : a.ix < b.ix;
+  }
   // Among those, one that can still meet its class's first objective goes first, and of these the one with
   // the least work left: that serves the most users in time when not all can be.
   const int la = lateness(a), lb = lateness(b);
--- a/src/sched/eligibility.cpp
+++ b/src/sched/eligibility.cpp
@@ -22,7 +22,13 @@
   if (!startable(job) || !agents_.may_start(m) || !gates::allowed(job, m.type, m.zone, m.spot)) return false;
   if (!ignore_room && !m.fits(job.spec.need)) return false;
   if (m.short_only && is_long(job)) return false;
-  return gates_.open(m, job);
+  return fast_enough(m, job) && gates_.open(m, job);
+}
+
+// A slow machine takes what can be in time there all the same, and what can't be anywhere.
+bool Scheduler::fast_enough(const Machine& m, const Job& job) const {
+  if (m.slow <= 1 || job.service()) return true;
+  return out_.now() + estimate(job) * m.slow <= due(job, 0);
 }
 
 // A job submitted with a mistake: it is tried again now and then, but nobody's work is stopped for that. Such
--- a/src/sched/preemption.cpp
+++ b/src/sched/preemption.cpp
@@ -134,14 +134,16 @@
   // Tasks end all the time, and what comes free goes to those within their guarantee first; stopping one
   // throws its work away. So a job that can spare the time waits for a part of it.
   constexpr Seconds kPatience = 3;
-  constexpr double kPart = 0.1;
+  // Of every ten core-seconds that were held beyond a guarantee on calm days of roamkvitto-core-fleet one was
+  // thrown away so, mostly the same tasks again and again, for jobs that had most of their time left.
+  const double part = settings_.tunables.spread ? 0.4 : 0.1;
   // Jobs of teams beyond their guarantee, the one that comes last first.
   std::optional<std::vector<Job*>> victims;
   for (const Ix ix : std::vector<Ix>(waiting_)) {
     Job* job = registry_.at(ix);
     if (!job || !under_guarantee(*job) || !startable(*job) || out_.now() - job->since < kPatience) continue;
     const Seconds spare = due(*job, 0) - job->since - estimate(*job);
-    if (!job->service() && out_.now() - job->since < kPart * spare) continue;
+    if (!job->service() && out_.now() - job->since < part * spare) continue;
     if (fails_everywhere(*job)) continue;
     if (settings_.teams[job->team].cpus <= 0 && settings_.teams[job->team].gpus <= 0) continue;
     if (!victims) {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -36,6 +36,9 @@
   long_.clear();
   job_times_.clear();
   picture_.clear();
+  speeds_.clear();
+  moves_.clear();
+  slow_machines_ = 0;
   offered_ = 0;
 }
 
@@ -68,12 +71,20 @@
 }
 
 void Scheduler::gone(Machine& m) {
+  speeds_.forget(m.ix);
+  for (const spread::Move& move : moves_.of_machine(m.ix)) give_up(move);
   if (queues_.size() <= m.ix) return;
   for (const Reservation& r : std::exchange(queues_[m.ix], {})) cancel_reservation(r.job, r.tasks);
 }
 
 void Scheduler::over(const Job& job) {
   picture_.ended(job);
+  // How far estimates are off, once corrected by what was seen of the class.
+  if (const auto it = job_times_.find(job.ix); it != job_times_.end() && job.spec.estimate_s > 0) {
+    constexpr double kLearns = 0.05;
+    const double off = std::log(it->second.first / estimate(job));
+    estimates_off_ += (std::min(1.0, off * off) - estimates_off_) * kLearns;
+  }
   reserved_.erase(job.ix);
   job_times_.erase(job.ix);
 }
@@ -89,7 +100,10 @@
     job->ever_ok = true;
     const double took = now - slot.running_since;
     picture_.delivered(*job, took * job->spec.need.cpus, now);
-    if (slot.running_since <= 0 || took < 0.5) return;  // it was seen only at its end
+    if (slot.running_since <= 0 || took < 0.5) return;      // it was seen only at its end
+    if (settings_.tunables.spread && slot.adopted) return;  // an earlier leader saw it start
+    if (const auto mean = usual(*job))
+      speeds_.ended(m.ix, job->ix, std::log(took / mean->run_s), mean->unsure);
     auto& [mean, n] = job_times_[job->ix];
     if (n >= 3) {
       const double ratio = std::clamp(took / mean, 0.2, 10.0);
@@ -135,6 +149,7 @@
     job->not_before = now + 0.5;
   }
   agents_.changed(m);
+  if (const auto move = moves_.gone(job->ix, slot.task)) moves_.finished(*move, land(*move));
   arrived(*job);
 }
 
@@ -178,6 +193,7 @@
   }
   if (second && !waiting_.empty()) reclaim_guarantees();
   if (second) look_at_waiting();
+  if (second && settings_.tunables.spread) watch_speeds(), plan_moves();
 }
 
 // Of every job that waits, why.
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -10,7 +10,9 @@
 
 #include "agents/agents.hpp"
 #include "gates/gate.hpp"
+#include "spread/moves.hpp"
 #include "spread/picture.hpp"
+#include "spread/speed.hpp"
 
 namespace wingtrail::sched {
 
@@ -48,7 +50,12 @@
   Demand demand(Seconds boot_s);
   // The part of its waiting tasks for which the job needs room of its own to be in time.
   double pressing(const Job& job, Seconds boot_s) const;
-  bool roomy() const;            // whether room may stand idle
+  bool roomy() const;  // whether room may stand idle
+  // Moves a running task to another machine where it can go on sooner; false: there is none, or the budget is
+  // used up.
+  bool move(Machine& from, Slot& slot, spread::Cause cause);
+  const spread::Moves& moves() const { return moves_; }
+  std::size_t slow_machines() const { return slow_machines_; }
   void offered(const Job& job);  // it is new to the service
   // Whether another machine with the job's image could take a task over from this one.
   bool could_move(const Job& job, const Machine& from);
@@ -104,6 +111,7 @@
   Seconds due(const Job& job, Seconds later) const;
   int lateness(const Job& job, Seconds later = 0) const;
   double work_left(const Job& job) const;
+  double price_of_aims(const Job& job) const;
   void start(Machine& m, Job& job);
   bool serve_once(Machine& m);
   void serve(Machine& m);
@@ -117,6 +125,16 @@
   bool in_time(const Job& job, Seconds fetch) const;
   Seconds wait_aim(const Job& job) const;
   void look_at_waiting();
+  struct Usual {
+    double run_s, unsure;  // `unsure`: of its logarithm, as a standard deviation
+  };
+  std::optional<Usual> usual(const Job& job) const;
+  void watch_speeds();
+  void plan_moves();
+  Machine* target(const Job& job, const Machine& from);
+  bool land(const spread::Move& move);
+  void give_up(const spread::Move& move);
+  bool fast_enough(const Machine& m, const Job& job) const;
   double waiting(const Machine& m, const Job& job) const;
   double spot_risk_s(const Machine& m, const Job& job) const;
   bool flexible(const Job& job) const;
@@ -133,6 +151,10 @@
   jobs::Registry& registry_;
   agents::Agents& agents_;
   spread::Picture picture_;
+  spread::Speeds speeds_;
+  spread::Moves moves_;
+  std::size_t slow_machines_ = 0;
+  double estimates_off_ = 1;  // variance of the logarithm of jobs' run times against their estimates
   gates::Gates gates_;
   pcg32 rng_;
   std::vector<wire::MachineType> catalog_;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -218,6 +218,7 @@
     {"replica_moves", &Tunables::replica_moves, nullptr, 0, 1},
     {"headroom", &Tunables::headroom, nullptr, 0, 5},
     {"spread", nullptr, &Tunables::spread, 0, 1},
+    {"moves", &Tunables::moves, nullptr, 0, 1},
     {"surge_spare", &Tunables::surge_spare, nullptr, 0, 10},
     {"progress_flush_s", &Tunables::progress_flush_s, nullptr, 0.1, 60},
 };
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -42,6 +42,7 @@
   double replica_moves = 0.005;        // of all replicas, how many may move in a second to empty machines
   double headroom = 0.15;              // spare capacity, as a share of the load
   int spread = 0;                      // 1: the decisions of docs/spread.md
+  double moves = 0.05;                 // tasks that may move at once, per machine
   double surge_spare = 1.2;       // of the load of arrays, what is kept for a surge where room is guaranteed
   double progress_flush_s = 1.0;  // how often completed tasks are persisted
 };
--- /dev/null
+++ b/src/spread/speed.hpp
@@ -0,0 +1,62 @@
+// Tells slow machines from sound ones by how long tasks take on them against their own job's tasks elsewhere.
+//
+// One task that takes long says little: run times of a job's tasks differ, and the first to end are the
+// shortest. So what is weighed is how much likelier all that was seen of a machine is if it runs at half
+// speed than if it is sound (a sequential probability ratio test, Wald 1945): a completed task counts by its
+// run time, one that still runs by having run that long already. A machine is slow when that ratio passes
+// `kAlarm`; by the test's own bound a sound one passes it less than once in 1/`kFalse` times that it is
+// followed from a fresh start. No single job can carry the verdict, since what is wrong with a job is wrong
+// on all its machines.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <vector>
+
+#include "jobs/registry.hpp"
+
+namespace wingtrail::spread {
+
+using jobs::Ix;
+using ports::Seconds;
+
+class Speeds {
+ public:
+  static constexpr double kFalse = 1e-6;
+
+  void clear();
+  // A task of the job has completed there: the logarithm of its run time against the job's others.
+  // `unsure`: how far off that comparison may be, as a standard deviation of logarithms.
+  void ended(std::size_t machine, Ix job, double log_ratio, double unsure = 0);
+  // What runs there now, told whole once a second: `log_ratio` of the time that each task has run so far.
+  void look(std::size_t machine);
+  void runs(std::size_t machine, Ix job, double log_ratio, double unsure = 0);
+  // After a look: whether the machine is slow; how many times as long its tasks take (at least 1).
+  bool slow(std::size_t machine) const;
+  double factor(std::size_t machine) const;
+  void forget(std::size_t machine);  // it is gone
+  double spread() const {
+    return deviation_;
+  }  // of run times within a job, as a standard deviation of logarithms
+
+ private:
+  static constexpr std::size_t kSpeeds = 3;
+  using Weights = std::array<double, kSpeeds>;  // logarithms of likelihood ratios, by what is supposed
+  struct Said {                                 // by one job's tasks
+    Ix job;
+    Weights ended{}, runs{};
+  };
+  struct Of {
+    std::vector<Said> said;  // the latest jobs
+    bool slow = false;
+  };
+  Of& of(std::size_t machine);
+  static Said& by(Of& of, Ix job);
+  static Weights sums(const Of& of);
+  static double likelier(const Weights& w);
+
+  std::vector<Of> machines_;
+  double deviation_ = 0.3;
+};
+
+}  // namespace wingtrail::spread
