--- a/src/sched/aims.cpp
+++ b/src/sched/aims.cpp
@@ -1,28 +1,13 @@
 // Estimates, and by when a job should be over; the order of what waits follows from them.
 #include <algorithm>
-#include <cmath>
 
 #include "sched/scheduler.hpp"
 
 namespace wingtrail::sched {
 
-// An owner's estimate is one witness; what the class's jobs have taken so far is another. Each counts by how
-// little it has been off (in logarithms, so that twice and half are as far). Where estimates are mostly
-// wrong, a job announced as four times the usual is most likely an ordinary one.
 double Scheduler::estimate(const Job& job) const {
-  if (job.job_class >= classes_.size()) return job.spec.estimate_s;
-  const ClassStats& c = classes_[job.job_class];
-  constexpr int kEnough = 10;
-  if (!settings_.tunables.spread || c.jobs < kEnough || job.spec.estimate_s <= 0)
-    return job.spec.estimate_s * c.ratio;
-  if (estimates_.size() <= job.ix) estimates_.resize(job.ix + 1);
-  Estimate& e = estimates_[job.ix];
-  if (e.as_of == c.jobs) return e.value;
-  const double owner = std::log(job.spec.estimate_s) + c.off.mean();
-  const double sum = c.runs.variance() + c.off.variance();
-  const double weight = sum > 0 ? c.runs.variance() / sum : 1;
-  e = {c.jobs, std::exp(weight * owner + (1 - weight) * c.runs.mean())};
-  return e.value;
+  const double ratio = job.job_class < classes_.size() ? classes_[job.job_class].ratio : 1.0;
+  return job.spec.estimate_s * ratio;
 }
 
 Seconds Scheduler::span(const Job& job) const {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -35,7 +35,6 @@
   in_waiting_.clear();
   long_.clear();
   job_times_.clear();
-  estimates_.clear();
   picture_.clear();
   speeds_.clear();
   moves_.clear();
@@ -85,11 +84,6 @@
     constexpr double kLearns = 0.05;
     const double off = std::log(it->second.first / estimate(job));
     estimates_off_ += (std::min(1.0, off * off) - estimates_off_) * kLearns;
-    if (classes_.size() <= job.job_class) classes_.resize(job.job_class + 1);
-    ClassStats& c = classes_[job.job_class];
-    ++c.jobs;
-    c.runs.add(std::log(it->second.first));
-    c.off.add(std::log(it->second.first / job.spec.estimate_s));
   }
   reserved_.erase(job.ix);
   job_times_.erase(job.ix);
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -10,7 +10,6 @@
 
 #include "agents/agents.hpp"
 #include "gates/gate.hpp"
-#include "spread/moments.hpp"
 #include "spread/moves.hpp"
 #include "spread/picture.hpp"
 #include "spread/speed.hpp"
@@ -169,17 +168,8 @@
   struct ClassStats {
     double ratio = 1;
     int samples = 0;
-    // Of the jobs that ended: the logarithm of their tasks' mean run time, and of that over the owner's
-    // estimate.
-    std::uint32_t jobs = 0;
-    spread::Moments runs, off;
   };
   std::vector<ClassStats> classes_;
-  struct Estimate {
-    std::uint32_t as_of = 0;
-    double value = 0;
-  };
-  mutable std::vector<Estimate> estimates_;  // by job, as of so many ended jobs of its class
   mutable std::vector<std::optional<std::vector<Aim>>> aims_;  // by class
   std::unordered_map<Ix, std::pair<double, int>> job_times_;   // mean run time of a job's completed tasks
   double offered_ = 0;  // cores that flexible work would keep busy at the rate at which it has been coming
