Spread: metrics of the picture, moves and slow machines; tests with many machines and failures

Need: an operator sees which team is hot, which zone is full and why jobs wait; each decision is shown by a test.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -278,6 +278,34 @@
   total("wingtrail_commits_total", "transactions committed as leader", s.commits);
   total("wingtrail_machines_hired_total", "machines rented", s.hired);
   total("wingtrail_machines_returned_total", "machines returned", s.returned);
+  const auto by = [&](const char* name, const char* help) -> prometheus::Family<prometheus::Gauge>& {
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry);
+  };
+  auto& held = by("wingtrail_class_cores", "cores in use, by team and class");
+  auto& waiting = by("wingtrail_class_waiting_cores", "cores that wait, by team and class");
+  auto& oldest = by("wingtrail_class_longest_wait_seconds", "the longest wait of a job with tasks to start");
+  auto& offered = by("wingtrail_class_offered_cores", "core-seconds of arrays that come in a second");
+  auto& surge = by("wingtrail_class_surge", "that, in terms of the usual");
+  auto& served =
+      by("wingtrail_class_served_share", "jobs that got their work done, of those that should have");
+  for (const Stats::ClassLoad& l : s.loads) {
+    const prometheus::Labels labels{{"team", l.team}, {"class", l.job_class}};
+    held.Add(labels).Set(l.held);
+    waiting.Add(labels).Set(l.waiting);
+    oldest.Add(labels).Set(l.oldest_s);
+    offered.Add(labels).Set(l.offered);
+    surge.Add(labels).Set(l.surge);
+    served.Add(labels).Set(l.served_share);
+  }
+  auto& zones = by("wingtrail_zone_cores", "cores in use, by zone");
+  for (const auto& [zone, cores] : s.zones) zones.Add({{"zone", zone}}).Set(cores);
+  auto& reasons = by("wingtrail_waiting_for_cores", "cores that wait, by what holds them back");
+  for (const auto& [why, cores] : s.reasons) reasons.Add({{"why", why}}).Set(cores);
+  gauge("wingtrail_slow_machines", "machines whose tasks take much longer than others of their jobs",
+        static_cast<double>(s.slow_machines));
+  total("wingtrail_moves_total", "moves of running tasks that were begun", s.moves_begun);
+  total("wingtrail_moves_failed_total", "of these, given up", s.moves_failed);
+  gauge("wingtrail_moves_lost_seconds", "run time that moves threw away", s.moves_lost_s);
   return prometheus::TextSerializer().Serialize(registry.Collect());
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -117,6 +117,23 @@
   s.alarms = agents_.sweeps();
   s.settled_after_s = agents_.cleared_after();
   s.leading = entitled();
+  const spread::Picture& picture = scheduler_.picture();
+  for (const auto& [key, load] : picture.loads()) {
+    s.loads.push_back({registry_.teams[key.first], registry_.classes[key.second], load.held, load.waiting,
+                       load.oldest, load.lately.per_s(out_.now()), load.surge(out_.now()),
+                       load.served_share()});
+  }
+  for (jobs::Ix zone = 0; zone < picture.zones().size(); ++zone)
+    s.zones.emplace_back(registry_.zones[zone], picture.zones()[zone].held);
+  for (const auto& [why, cores] : picture.reasons()) s.reasons.emplace_back(std::string(why), cores);
+  for (const auto cause : {spread::Cause::slow, spread::Cause::emptied}) {
+    const auto& c = scheduler_.moves().counts(cause);
+    s.moves_begun += c.begun;
+    s.moves_done += c.done;
+    s.moves_failed += c.failed;
+    s.moves_lost_s += c.lost_s;
+  }
+  s.slow_machines = scheduler_.slow_machines();
   return s;
 }
 
@@ -481,6 +498,14 @@
       s.machines_examined, s.jobs_examined, s.state_calls, s.state_refused, s.state_writes, s.ends_written,
       s.roster_written, s.progress_written, s.forwarded, s.live_jobs, s.held_jobs, s.machines,
       s.record_pages);
+  for (const Stats::ClassLoad& l : s.loads) {
+    spdlog::debug(
+        "{} of {}: {:.0f} cores in use, {:.0f} wait, the longest for {:.0f} s; offered {:.0f}, {:.1f} times "
+        "the usual; "
+        "{:.3f} served",
+        l.job_class, l.team, l.held, l.waiting, l.oldest_s, l.offered, l.surge, l.served_share);
+  }
+  for (const auto& [why, cores] : s.reasons) spdlog::debug("{:.0f} cores wait for {}", cores, why);
   out_.after(kStatsEvery, [this] { tell_stats(); });
 }
 
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -40,6 +40,16 @@
   std::uint64_t chains_ready = 0, orphaned = 0;
   std::size_t live_jobs = 0, held_jobs = 0, machines = 0, record_pages = 0;
   std::uint64_t custody_answers = 0, grants = 0, aborts_put_off = 0, alarms = 0;
+  // The picture of the load (spread/picture.hpp), in names.
+  struct ClassLoad {
+    std::string team, job_class;
+    double held = 0, waiting = 0, oldest_s = 0, offered = 0, surge = 1, served_share = 1;
+  };
+  std::vector<ClassLoad> loads;
+  std::vector<std::pair<std::string, double>> zones, reasons;  // cores in use; cores that wait, by why
+  std::uint64_t moves_begun = 0, moves_done = 0, moves_failed = 0;
+  double moves_lost_s = 0;  // work thrown away by them
+  std::size_t slow_machines = 0;
   double settled_after_s = 0;
   bool leading = false;
 };
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -48,6 +48,7 @@
   bool told_done = false;
   std::set<std::uint32_t> done, begun;
   std::vector<UserJob*> needs, needed_by;
+  double came = 0;
   double doomed_at = -1;  // since when a job that it needs, or itself, is known to be cancelled
   bool over() const { return done.size() >= spec.tasks; }
 };
@@ -95,6 +96,7 @@
   wire::MachineType a{"big", 16, 0, 64, 50, 1.0, 1.0, 0.4, 12, {"z0", "z1"}};
   wire::MachineType b{"small", 8, 0, 32, 50, 1.0, 0.6, 0.2, 8, {"z0", "z1"}};
   settings_.tunables.spread = plan_.spread;
+  settings_.objectives = plan_.objectives;
   catalog_ = {a, b};
   zone_cuts_.resize(settings_.zones.size());
   for (std::size_t i = 0; i < kNodes; ++i) {
@@ -905,6 +907,8 @@
     if (x.name != name || x.attempt != attempt || x.phase != "pulling") continue;
     x.phase = "running";
     h.images.insert(x.job->spec.image);
+    verdict_.services_late +=
+        x.job->spec.shape == wire::Shape::service && t_ - x.job->came > 2 && !x.job->begun.contains(x.index);
     check_start(h, x, *x.job);
     double run = x.job->run_s * between(0.9, 1.1) * h.slow;
     if (h.sick || x.job->bad) {
@@ -1124,6 +1128,7 @@
   job->run_s = run_s;
   job->body = wire::job_value(spec);
   job->submitted = true;
+  job->came = t_;
   UserJob& j = *job;
   for (const std::string& ref : spec.waits_on) {
     j.needs.push_back(jobs_.at(ref).get());
@@ -1140,6 +1145,47 @@
 
 bool World::over(const std::string& ref) const { return jobs_.at(ref)->over(); }
 
+double World::served(const std::string& team, double older_than) const {
+  double came = 0, over = 0;
+  for (const auto& [ref, job] : jobs_) {
+    if (job->spec.team != team || job->spec.shape == wire::Shape::service || job->want_abort ||
+        !job->accepted || t_ - job->came < older_than)
+      continue;
+    ++came;
+    over += job->over();
+  }
+  return came > 0 ? over / came : 1;
+}
+
+void World::slow_machines(std::size_t n, double factor) {
+  for (auto& [name, h] : hosts_) {
+    if (n == 0) return;
+    if (h->gone || h->dead || !h->up) continue;
+    h->slow = factor;
+    --n;
+  }
+}
+
+void World::kill_machines(std::size_t n) {
+  for (auto& [name, h] : hosts_) {
+    if (n == 0) return;
+    if (h->gone || h->dead || !h->up) continue;
+    h->dead = true;
+    h->tasks.clear();
+    --n;
+  }
+}
+
+std::size_t World::slow_and_running(double factor) const {
+  std::size_t n = 0;
+  for (const auto& [name, h] : hosts_) {
+    if (h->gone || h->dead || h->slow < factor) continue;
+    n += static_cast<std::size_t>(
+        std::count_if(h->tasks.begin(), h->tasks.end(), [](const TaskOn& x) { return x.on(); }));
+  }
+  return n;
+}
+
 void World::submit_some() {
   if (t_ > plan_.duration_s) return;
   auto job = std::make_unique<UserJob>();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -39,6 +39,7 @@
   bool cuts = false;
   double undeclared = 1;  // the share of the limits in the settings that the state service really grants
   bool spread = false;    // the decisions of docs/spread.md
+  std::vector<settings::Objective> objectives;
   // A fault planted on purpose, to show that a check can fail. See docs/safety.md.
   std::string sabotage;
 };
@@ -53,6 +54,7 @@
   std::size_t returned_in_cut = 0;  // machines with tasks on them, of a zone that was cut off then
   std::size_t started_again = 0;    // tasks that had been started before and did not fail
   std::size_t lost_by_lease = 0;    // tasks that sound workers killed when their lease ran out
+  std::size_t services_late = 0;  // first starts of services later than two seconds after they were submitted
   std::size_t kept_in_custody = 0;  // reports that a node answered without being entitled to give orders
 };
 
@@ -79,10 +81,16 @@
   // A user submits the job now, and cancels it at that time if there is one.
   void user(const wire::JobSpec& spec, double run_s, double cancel_at = -1);
   bool over(const std::string& ref) const;  // all its tasks have completed
+  // Of the team's accepted arrays that came at least so long ago and were not cancelled, the share that is
+  // over.
+  double served(const std::string& team, double older_than) const;
   // Troubles that a test orders: for so long, from now.
   void cut_zone(std::size_t zone, double for_s, bool hold);
   void state_outage(double for_s);
   void crash(std::size_t i);
+  void slow_machines(std::size_t n, double factor);  // some of those that are up
+  void kill_machines(std::size_t n);
+  std::size_t slow_and_running(double factor) const;  // tasks on machines as slow as that
   void at_once_after(double delay, std::function<void()> fn) { later(delay, std::move(fn)); }
   std::optional<std::size_t> leader() const;  // the node that may give orders now
   const Verdict& verdict() const { return verdict_; }
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -317,5 +317,138 @@
   EXPECT_LT(big.writes_per_job, 2 * small.writes_per_job + 5);
 }
 
+// A fleet with the decisions of docs/spread.md on, and aims for two classes.
+Plan spread_out(std::uint64_t seed, int machines, bool on = true) {
+  Plan plan;
+  plan.seed = seed;
+  plan.fault_every_s = 0;
+  plan.limits = false;
+  plan.machines = machines;
+  plan.most_machines = static_cast<std::size_t>(machines);
+  plan.script = true;
+  plan.idle_return_s = 1e4;
+  plan.spread = on;
+  plan.objectives = {{"finished", "batch", 120, 0.9, 1}, {"wait", "live", 2, 0.9, 1}};
+  return plan;
+}
+
+wire::JobSpec live(int n, std::uint32_t tasks, int image) {
+  wire::JobSpec s = job_of(n, tasks, "red");
+  s.shape = wire::Shape::service;
+  s.job_class = "live";
+  s.priority = wire::Priority::production;
+  s.image = "live-" + std::to_string(image);
+  s.image_gb = 2.2;  // not within two seconds
+  s.spread = true;
+  s.spot = false;
+  return s;
+}
+
+// A fleet full of arrays with more waiting; then services whose images others of their kind use already. All
+// machines with those images once were full of services, so every new one fetched (busy day of
+// roamkvitto-core-fleet).
+TEST(Spread, ServicesStartWithoutAFetchOnAFullFleet) {
+  spdlog::set_level(spdlog::level::off);
+  const auto late = [](std::uint64_t seed, bool on) {
+    World world(spread_out(seed, 60, on));
+    world.begin();
+    world.step(10);
+    int n = 0;
+    for (int i = 0; i < 60; ++i) world.user(live(++n, 2, i % 10), 0);
+    world.step(30);
+    for (int i = 0; i < 30; ++i) {
+      wire::JobSpec s = job_of(++n, 40, "blue");
+      s.estimate_s = 40;
+      world.user(s, 40);
+    }
+    world.step(60);
+    const std::size_t before = world.verdict().services_late;
+    for (int i = 0; i < 24; ++i) world.user(live(++n, 2, i % 10), 0);
+    world.step(70);
+    for (const auto& b : world.verdict().broken) ADD_FAILURE() << b;
+    return world.verdict().services_late - before;
+  };
+  std::size_t with = 0, without = 0;
+  for (const std::uint64_t seed : {1U, 2U, 3U}) with += late(seed, true), without += late(seed, false);
+  EXPECT_LT(with, 12U) << "of 144";
+  EXPECT_GT(without, 2 * with) << "else this shows nothing";
+}
+
+// Machines at a quarter of their speed beside sound ones: what has long to run there moves, whatever fails
+// meanwhile, and nothing is ever in two places (the world checks every start).
+TEST(Spread, WorkLeavesSlowMachinesUnderCrashesCutsAndCancellations) {
+  spdlog::set_level(spdlog::level::off);
+  std::uint64_t moved = 0;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    World world(spread_out(seed, 48));
+    world.begin();
+    world.step(10);
+    int n = 0;
+    const auto wave = [&](double until) {
+      while (world.next() < until && n < 400) {
+        ++n;
+        wire::JobSpec s = job_of(n, 24, n % 2 == 0 ? "red" : "blue");
+        s.estimate_s = 20;
+        world.user(s, 20, n % 9 == 0 ? until + 6 : -1);
+        world.step(std::min(until, 10 + 2.5 * n));
+      }
+      world.step(until);
+    };
+    wave(150);
+    world.slow_machines(8, 4);
+    wave(200);
+    const auto stats = world.leader_stats();
+    moved += stats ? stats->moves_done : 0;
+    // Amid the moves: the leader crashes, a zone is cut off, machines die, the state service is down.
+    if (seed % 4 == 0) world.crash(world.leader().value_or(0));
+    if (seed % 4 == 1) world.cut_zone(seed % 2, 20, true);
+    if (seed % 4 == 2) world.kill_machines(10);
+    if (seed % 4 == 3) world.state_outage(8);
+    wave(240);
+    world.step(900);
+    for (const auto& b : world.verdict().broken) ADD_FAILURE() << b;
+    EXPECT_EQ(world.close().unfinished, 0U) << seed;
+  }
+  EXPECT_GT(moved, 20U);
+}
+
+// One team sends eight times its usual load while machines die and all controllers crash in the middle of it:
+// the other team's share served never falls below a half.
+TEST(Spread, ASwarmingTeamStarvesNobody) {
+  spdlog::set_level(spdlog::level::off);
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    World world(spread_out(seed, 200));
+    world.begin();
+    world.step(10);
+    int n = 0;
+    for (double t = 10; t < 200; t += 2) {
+      const bool burst = t > 60 && t < 120;
+      for (int i = 0; i < (burst ? 8 : 1); ++i) {
+        wire::JobSpec s = job_of(++n, 60, "red");
+        s.estimate_s = 30;
+        // One user cancels and submits again all the time.
+        world.user(s, 30, burst && i == 7 ? t + 20 : -1);
+      }
+      wire::JobSpec s = job_of(++n, 30, "blue");
+      s.estimate_s = 30;
+      world.user(s, 30);
+      if (t == 90) world.kill_machines(20);
+      if (t == 100) {
+        for (std::size_t c = 0; c < 3; ++c) world.crash(c);
+      }
+      world.step(t + 2);
+      if (t > 100) {
+        EXPECT_GE(world.served("blue", 90), 0.5) << "seed " << seed << " at " << t;
+      }
+    }
+    const auto stats = world.leader_stats();
+    ASSERT_TRUE(stats);
+    EXPECT_GT(stats->loads.size(), 1U);
+    world.step(1500);
+    EXPECT_EQ(world.served("red", 300), 1.0) << seed;
+    for (const auto& b : world.verdict().broken) ADD_FAILURE() << b;
+  }
+}
+
 }  // namespace
 }  // namespace wingtrail::world
