--- a/src/sched/aims.cpp
+++ b/src/sched/aims.cpp
@@ -91,17 +91,6 @@
   return meets > 0 ? work / meets : kNone + work;
 }
 
-// The same where the job's task would have to fetch its image first: the place is held for that time too.
-bool Scheduler::before_here(const Machine& m, const Job& a, const Job& b) const {
-  if (!settings_.tunables.spread || a.priority != b.priority || under_guarantee(a) != under_guarantee(b))
-    return before(a, b);
-  const auto price = [&](const Job& job) {
-    return price_of_aims(job) * (1 + fetch_s(m, job) / std::max(1.0, estimate(job)));
-  };
-  const double pa = price(a), pb = price(b);
-  return pa != pb ? pa < pb : a.ix < b.ix;
-}
-
 // Guarantees come first (DESIGN names this weakness: a swarming team's reservations queue ahead of
 // everyone's), then priority, then what can still be in time.
 bool Scheduler::before(const Job& a, const Job& b) const {
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -31,25 +31,6 @@
   return s + 0.2 * (1 - m.used.cpus / std::max(m.cpus, 1.0));
 }
 
-// Seconds until the job's image is on the machine. Images that are fetched at once share the line, so a new
-// machine that is filled with tasks of three images waits for all three.
-Seconds Scheduler::fetch_s(const Machine& m, const Job& job) const {
-  if (m.has_image(job.image) || m.type >= catalog_.size() || catalog_[m.type].fetch_gb_per_s <= 0) return 0;
-  double gb = job.spec.image_gb;
-  std::vector<Ix> counted;
-  for (const Slot& slot : m.slots) {
-    if (!slot.counted || (slot.phase != Slot::Phase::fetching && slot.phase != Slot::Phase::ordered))
-      continue;
-    const Job* other = registry_.at(slot.job);
-    if (!other || m.has_image(other->image)) continue;
-    if (other->image == job.image) return 0.5 * gb / catalog_[m.type].fetch_gb_per_s;  // on its way already
-    if (std::find(counted.begin(), counted.end(), other->image) != counted.end()) continue;
-    counted.push_back(other->image);
-    gb += other->spec.image_gb;
-  }
-  return gb / catalog_[m.type].fetch_gb_per_s;
-}
-
 // What a spot machine costs an array in time: one machine taken means that the array waits for a task's whole
 // run once more, and it is on as many machines as its tasks fill.
 double Scheduler::spot_risk_s(const Machine& m, const Job& job) const {
--- a/src/sched/reservations.cpp
+++ b/src/sched/reservations.cpp
@@ -86,18 +86,13 @@
 // The waiting long job that comes first among those that could start here.
 Job* Scheduler::first_long(const Machine& m) {
   if (m.short_only) return nullptr;
-  Job* best = nullptr;
-  int seen = 0;
   for (const Ix ix : long_) {
     Job* job = registry_.at(ix);
     if (!job || job->pending.empty() || job->gang()) continue;
     ++jobs_examined_;
-    if (!can_start(m, *job)) continue;
-    if (!settings_.tunables.spread) return job;
-    if (!best || before_here(m, *job, *best)) best = job;
-    if (++seen >= settings_.tunables.steal_sample) break;
+    if (can_start(m, *job)) return job;
   }
-  return best;
+  return nullptr;
 }
 
 // Starts the task that comes first of those that wait for room here: in the machine's queue, or long.
@@ -116,7 +111,7 @@
   for (std::size_t i = 0; i < queue.size(); ++i) {
     Job& job = *registry_.at(queue[i].job);
     ++jobs_examined_;
-    if (!can_start(m, job) || (first && !before_here(m, job, *first))) continue;
+    if (!can_start(m, job) || (first && !before(job, *first))) continue;
     first = &job;
     best = i;
   }
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -112,8 +112,6 @@
   int lateness(const Job& job, Seconds later = 0) const;
   double work_left(const Job& job) const;
   double price_of_aims(const Job& job) const;
-  bool before_here(const Machine& m, const Job& a, const Job& b) const;
-  Seconds fetch_s(const Machine& m, const Job& job) const;
   void start(Machine& m, Job& job);
   bool serve_once(Machine& m);
   void serve(Machine& m);
