--- a/src/fleet/renting.cpp
+++ b/src/fleet/renting.cpp
@@ -67,7 +67,7 @@
 // that meets a fleet of the usual load's size waits for boots.
 double Fleet::spare() const {
   const settings::Tunables& t = settings_.tunables;
-  return t.spread && scheduler_.roomy() ? std::max(t.headroom, t.surge_spare) : t.headroom;
+  return scheduler_.roomy() ? std::max(t.headroom, t.surge_spare) : t.headroom;
 }
 
 void Fleet::rent() {
--- a/src/sched/aims.cpp
+++ b/src/sched/aims.cpp
@@ -97,7 +97,9 @@
   const bool ga = under_guarantee(a), gb = under_guarantee(b);
   if (ga != gb) return ga;
   if (a.priority != b.priority) return a.priority > b.priority;
-  if (settings_.tunables.spread) {
+  // Where no room is guaranteed this won nothing and cost a little: estimates are mostly wrong there, and
+  // decide it.
+  if (roomy_) {
     const double pa = price_of_aims(a), pb = price_of_aims(b);
     return pa != pb ? pa < pb : a.ix < b.ix;
   }
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -71,15 +71,6 @@
   return best;
 }
 
-// Room that is guaranteed to teams has to be there, used or not; a fleet that guarantees none, or whose aims
-// name money, is kept as small as its load allows.
-bool Scheduler::roomy() const {
-  const auto& all = settings_.teams;
-  return std::any_of(all.begin(), all.end(), [](const auto& t) { return t.cpus > 0 || t.gpus > 0; }) &&
-         std::none_of(settings_.objectives.begin(), settings_.objectives.end(),
-                      [](const auto& o) { return o.kind == "price" || o.kind == "useful"; });
-}
-
 // Within what time the class's tasks should start; nothing is won by starting sooner.
 Seconds Scheduler::wait_aim(const Job& job) const {
   Seconds least = 0;
@@ -145,7 +136,7 @@
 }
 
 void Scheduler::place_long(Job& job) {
-  const bool spread_out = settings_.tunables.spread && job.service() && roomy();
+  const bool spread_out = job.service() && roomy_;
   // A gang that lost a task starts again as a whole, once the others have noticed and ended.
   if (job.gang() && (job.placed > 0 || !gang_fits(job))) return;
   while (startable(job)) {
--- a/src/sched/preemption.cpp
+++ b/src/sched/preemption.cpp
@@ -40,7 +40,7 @@
       after.used.gpus -= m.slots[s].need.gpus;
       after.used.memory_gb -= m.slots[s].need.memory_gb;
       cost += 1 + age(s);
-      lost += settings_.tunables.spread && harmless(m.slots[s]) ? 0 : age(s);
+      lost += roomy_ && harmless(m.slots[s]) ? 0 : age(s);
       victims.push_back(s);
     }
     if (lost > most_lost_s || victims.empty() || !after.fits(job.spec.need)) continue;
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -7,12 +7,27 @@
 
 namespace wingtrail::sched {
 
+namespace {
+
+// Room that is guaranteed to teams has to be there, used or not; a fleet that guarantees none, or whose aims
+// name money, is kept as small as its load allows.
+bool room_is_guaranteed(const settings::Settings& settings) {
+  const auto& all = settings.teams;
+  return settings.tunables.spread &&
+         std::any_of(all.begin(), all.end(), [](const auto& t) { return t.cpus > 0 || t.gpus > 0; }) &&
+         std::none_of(settings.objectives.begin(), settings.objectives.end(),
+                      [](const auto& o) { return o.kind == "price" || o.kind == "useful"; });
+}
+
+}  // namespace
+
 Scheduler::Scheduler(ports::Outbox& out, const settings::Settings& settings, jobs::Registry& registry,
                      agents::Agents& agents, std::function<std::uint64_t()> token, std::uint64_t seed)
     : out_(out),
       settings_(settings),
       registry_(registry),
       agents_(agents),
+      roomy_(room_is_guaranteed(settings)),
       gates_(out, settings, agents, picture_, std::move(token)),
       rng_(seed) {
   registry_.on_placed = [this](const Job& job, Ix zone, int tasks) { picture_.placed(job, zone, tasks); };
@@ -72,7 +87,10 @@
 
 void Scheduler::gone(Machine& m) {
   speeds_.forget(m.ix);
-  for (const spread::Move& move : moves_.of_machine(m.ix)) give_up(move);
+  for (const spread::Move& move : moves_.of_machine(m.ix)) {
+    give_up(move);
+    moves_.finished(move, false);
+  }
   if (queues_.size() <= m.ix) return;
   for (const Reservation& r : std::exchange(queues_[m.ix], {})) cancel_reservation(r.job, r.tasks);
 }
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -50,7 +50,7 @@
   Demand demand(Seconds boot_s);
   // The part of its waiting tasks for which the job needs room of its own to be in time.
   double pressing(const Job& job, Seconds boot_s) const;
-  bool roomy() const;  // whether room may stand idle
+  bool roomy() const { return roomy_; }  // the spread is on, and room may stand idle
   // Moves a running task to another machine where it can go on sooner; false: there is none, or the budget is
   // used up.
   bool move(Machine& from, Slot& slot, spread::Cause cause);
@@ -150,6 +150,7 @@
   const settings::Settings& settings_;
   jobs::Registry& registry_;
   agents::Agents& agents_;
+  bool roomy_;
   spread::Picture picture_;
   spread::Speeds speeds_;
   spread::Moves moves_;
--- a/src/spread/moves.cpp
+++ b/src/spread/moves.cpp
@@ -15,6 +15,7 @@
 }
 
 void Moves::clear() {
+  for (const Move& m : moves_) finished(m, false);  // its task, if it lives, is found where it is
   moves_.clear();
   last_.clear();
 }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -166,7 +166,25 @@
   if (outside_.deliver) t_ = std::max(t_, until);
 }
 
+// What the leader takes for used on a machine is what its tasks there need, once no move is under way.
+void World::check_rooms() {
+  for (const auto& c : ctls_) {
+    if (!c->node || !c->node->entitled()) continue;
+    const daemon::Stats stats = c->node->stats();
+    if (stats.moves_begun > stats.moves_done + stats.moves_failed) continue;
+    for (const agents::Machine& m : c->node->agents().all()) {
+      if (m.gone) continue;
+      double cpus = 0;
+      for (const agents::Slot& s : m.slots) cpus += s.counted && !s.ends_at_once() ? s.need.cpus : 0;
+      if (std::abs(cpus - m.used.cpus) > 1e-6)
+        broke("room",
+              m.host + ": " + std::to_string(m.used.cpus) + " used, " + std::to_string(cpus) + " held");
+    }
+  }
+}
+
 const Verdict& World::close() {
+  check_rooms();
   for (auto& [ref, job] : jobs_) {
     if (!job->accepted || job->spec.shape == wire::Shape::service || job->over() || hopeless(*job)) continue;
     ++verdict_.unfinished;
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -195,6 +195,7 @@
   void broke(const std::string& rule, const std::string& how);
   void check_start(Host& h, TaskOn& task, UserJob& job);
   void check_cancelled();
+  void check_rooms();
   void doom(UserJob& job, double since);
   bool may_be_cancelled(const UserJob& job) const;
   bool hopeless(const UserJob& job) const;
