--- a/src/fleet/shedding.cpp
+++ b/src/fleet/shedding.cpp
@@ -87,7 +87,7 @@
   for (agents::Slot& s : m.slots) {
     const jobs::Job* job = registry_.at(s.job);
     if (!job || !job->service() || s.phase != agents::Slot::Phase::running || s.stop) continue;
-    if (settings_.tunables.spread) {
+    if (scheduler_.roomy()) {
       if (scheduler_.move(m, s, spread::Cause::emptied)) return true;
       continue;
     }
--- a/src/sched/moving.cpp
+++ b/src/sched/moving.cpp
@@ -16,7 +16,7 @@
 std::optional<Scheduler::Usual> Scheduler::usual(const Job& job) const {
   constexpr int kEnough = 5;
   constexpr double kMostOf = 0.5;
-  if (!settings_.tunables.spread) return std::nullopt;
+  if (!roomy_) return std::nullopt;
   const auto it = job_times_.find(job.ix);
   if (it != job_times_.end() && it->second.second >= std::max<double>(kEnough, kMostOf * job.spec.tasks))
     return Usual{it->second.first, 0};
--- a/src/sched/preemption.cpp
+++ b/src/sched/preemption.cpp
@@ -136,7 +136,7 @@
   constexpr Seconds kPatience = 3;
   // Of every ten core-seconds that were held beyond a guarantee on calm days of roamkvitto-core-fleet one was
   // thrown away so, mostly the same tasks again and again, for jobs that had most of their time left.
-  const double part = settings_.tunables.spread ? 0.4 : 0.1;
+  const double part = roomy_ ? 0.4 : 0.1;
   // Jobs of teams beyond their guarantee, the one that comes last first.
   std::optional<std::vector<Job*>> victims;
   for (const Ix ix : std::vector<Ix>(waiting_)) {
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -118,8 +118,8 @@
     job->ever_ok = true;
     const double took = now - slot.running_since;
     picture_.delivered(*job, took * job->spec.need.cpus, now);
-    if (slot.running_since <= 0 || took < 0.5) return;      // it was seen only at its end
-    if (settings_.tunables.spread && slot.adopted) return;  // an earlier leader saw it start
+    if (slot.running_since <= 0 || took < 0.5) return;  // it was seen only at its end
+    if (roomy_ && slot.adopted) return;                 // an earlier leader saw it start
     if (const auto mean = usual(*job))
       speeds_.ended(m.ix, job->ix, std::log(took / mean->run_s), mean->unsure);
     auto& [mean, n] = job_times_[job->ix];
@@ -211,7 +211,7 @@
   }
   if (second && !waiting_.empty()) reclaim_guarantees();
   if (second) look_at_waiting();
-  if (second && settings_.tunables.spread) watch_speeds(), plan_moves();
+  if (second && roomy_) watch_speeds(), plan_moves();
 }
 
 // Of every job that waits, why.
