Spread: one reckoning of fetches and of zones that bear a move; figures nobody read go

Cause: read once more, the change reckoned a fetch in three places, a moved task's zone in two, walked all objectives for the wait aim in every placement although aims() keeps them by class, and kept figures that nothing reads (cores delivered, a team's cores, jobs that came, where a move came from). The test plans of the rides and of the spread stood twice. Change: fetch_s, zone_bears_move, aims() and scripted() serve all of them; behaviour is meant to be the same.

--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -124,7 +124,7 @@
                        load.served_share()});
   }
   for (jobs::Ix zone = 0; zone < picture.zones().size(); ++zone)
-    s.zones.emplace_back(registry_.zones[zone], picture.zones()[zone].held);
+    s.zones.emplace_back(registry_.zones[zone], picture.zones()[zone]);
   for (const auto& [why, cores] : picture.reasons()) s.reasons.emplace_back(std::string(why), cores);
   for (const auto cause : {spread::Cause::slow, spread::Cause::emptied}) {
     const auto& c = scheduler_.moves().counts(cause);
--- a/src/sched/moving.cpp
+++ b/src/sched/moving.cpp
@@ -58,10 +58,7 @@
   for (const bool cached : {true, false}) {
     for (const Index::Pool& p : agents_.index().pools()) {
       if ((p.short_only && is_long(job)) || !gates::allowed(job, p.type, p.zone, p.spot)) continue;
-      // The task that moves no longer counts in its zone.
-      const std::uint32_t here =
-          (p.zone < job.in_zone.size() ? job.in_zone[p.zone] : 0) - (p.zone == from.zone ? 1 : 0);
-      if (job.spec.spread && here + 1 > (job.spec.tasks + 1) / 2) continue;
+      if (!zone_bears_move(p.zone, job, from)) continue;
       if (job.spec.one_zone && p.zone != from.zone) continue;
       const Index::Group* group = cached ? p.with(job.image) : &p.all;
       if (!group) continue;
@@ -85,14 +82,14 @@
   // Only what is proved to run there, alone of its kind: a gang would have to move as a whole.
   if (!job || !job->open() || job->held() || job->gang() || slot.stop || slot.phase != Slot::Phase::running)
     return false;
-  const double placed = std::max(1.0, static_cast<double>(agents_.live().size()));
-  const auto at_once = static_cast<std::size_t>(std::max(2.0, settings_.tunables.moves * placed));
+  const auto machines = static_cast<double>(agents_.live().size());
+  const auto at_once = static_cast<std::size_t>(std::max(2.0, settings_.tunables.moves * machines));
   if (!moves_.may_begin(job->ix, slot.task, at_once, out_.now())) return false;
   Machine* to = target(*job, from);
   if (!to) return false;
   const bool saves = job->spec.checkpoint_s > 0;
   spread::Move m;
-  m.job = job->ix, m.task = slot.task, m.from = from.ix, m.to = to->ix;
+  m.job = job->ix, m.task = slot.task, m.to = to->ix;
   m.cause = cause;
   m.since = out_.now();
   m.need = job->spec.need;
@@ -141,9 +138,7 @@
       if (!job || job->service() || s.running_since <= 0 || !s.counted || s.stop) continue;
       const auto usually = usual(*job);
       const double run = usually ? usually->run_s : estimate(*job);
-      double fetch = 0;
-      if (m.type < catalog_.size() && catalog_[m.type].fetch_gb_per_s > 0)
-        fetch = job->spec.image_gb / catalog_[m.type].fetch_gb_per_s;
+      const Seconds fetch = fetch_s(m.type, *job);
       const Seconds left = run * m.slow - (out_.now() - s.running_since);
       if (left > run * (1 + kClearly) + fetch + kOnTheWay) move(m, s, spread::Cause::slow);
     }
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -9,6 +9,12 @@
 constexpr double kEps = 1e-6;
 }
 
+// Seconds that a machine of the type takes for the job's image alone; 0: not known.
+Seconds Scheduler::fetch_s(Ix type, const Job& job) const {
+  const double rate = type < catalog_.size() ? catalog_[type].fetch_gb_per_s : 0;
+  return rate > 0 ? job.spec.image_gb / rate : 0;
+}
+
 // Seconds until a task of the job could begin here: the fetch, and what is queued ahead of it. Between
 // machines that could begin equally soon, the fuller one is taken, so that others become empty and can be
 // returned.
@@ -21,8 +27,8 @@
     ++same_job;
     fetching |= slot.phase == Slot::Phase::fetching;
   }
-  if (!m.has_image(job.image) && m.type < catalog_.size() && catalog_[m.type].fetch_gb_per_s > 0) {
-    s += job.spec.image_gb / catalog_[m.type].fetch_gb_per_s;
+  if (!m.has_image(job.image)) {
+    s += fetch_s(m.type, job);
     if (fetching) s *= 0.5;  // on its way already
   }
   if (job.service()) s += same_job * 2.0;
@@ -74,9 +80,8 @@
 // Within what time the class's tasks should start; nothing is won by starting sooner.
 Seconds Scheduler::wait_aim(const Job& job) const {
   Seconds least = 0;
-  for (const auto& o : settings_.objectives) {
-    if (o.kind == "wait" && o.job_class == registry_.classes[job.job_class])
-      least = least > 0 ? std::min(least, o.within_s) : o.within_s;
+  for (const Aim& aim : aims(job.job_class)) {
+    if (aim.kind == Aim::Kind::wait) least = least > 0 ? std::min(least, aim.value) : aim.value;
   }
   return least;
 }
@@ -100,10 +105,8 @@
   }
   double cost = kFull * services / std::max(m.cpus, 1.0) + waiting(m, job);
   // A fetch that ends within the aim costs nothing.
-  if (m.has_image(job.image) || m.type >= catalog_.size() || catalog_[m.type].fetch_gb_per_s <= 0)
-    return cost;
-  const double fetch = job.spec.image_gb / catalog_[m.type].fetch_gb_per_s;
-  if (in_time(job, fetch)) cost -= fetch;
+  const Seconds fetch = m.has_image(job.image) ? 0 : fetch_s(m.type, job);
+  if (fetch > 0 && in_time(job, fetch)) cost -= fetch;
   return cost;
 }
 
@@ -181,14 +184,18 @@
   return std::any_of(zones.begin(), zones.end(), [n](const auto& z) { return z.second >= n; });
 }
 
+// The task that moves no longer counts in its zone. With it, a service spread evenly over two zones could
+// move to neither, and the first machine to be emptied of it kept all others waiting to the end.
+bool Scheduler::zone_bears_move(Ix zone, const Job& job, const Machine& from) {
+  const std::uint32_t here =
+      (zone < job.in_zone.size() ? job.in_zone[zone] : 0) - (zone == from.zone ? 1 : 0);
+  return !job.spec.spread || here + 1 <= (job.spec.tasks + 1) / 2;
+}
+
 bool Scheduler::could_move(const Job& job, const Machine& from) {
   for (const Index::Pool& p : agents_.index().pools()) {
     if (p.short_only || !gates::allowed(job, p.type, p.zone, p.spot)) continue;
-    // The task that moves no longer counts in its zone. With it, a service spread evenly over two zones could
-    // move to neither, and the first machine to be emptied of it kept all others waiting to the end.
-    const std::uint32_t here =
-        (p.zone < job.in_zone.size() ? job.in_zone[p.zone] : 0) - (p.zone == from.zone ? 1 : 0);
-    if (job.spec.spread && here + 1 > (job.spec.tasks + 1) / 2) continue;
+    if (!zone_bears_move(p.zone, job, from)) continue;
     const Index::Group* cached = p.with(job.image);
     if (!cached) continue;
     auto it = cached->room.lower_bound({job.spec.need.cpus - kEps, 0});
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -117,7 +117,6 @@
     m.health = agents::Health::good;
     job->ever_ok = true;
     const double took = now - slot.running_since;
-    picture_.delivered(*job, took * job->spec.need.cpus, now);
     if (slot.running_since <= 0 || took < 0.5) return;  // it was seen only at its end
     if (roomy_ && slot.adopted) return;                 // an earlier leader saw it start
     if (const auto mean = usual(*job))
--- a/src/sched/scheduler.hpp
+++ b/src/sched/scheduler.hpp
@@ -124,6 +124,8 @@
   double crowding(const Machine& m, const Job& job) const;
   bool in_time(const Job& job, Seconds fetch) const;
   Seconds wait_aim(const Job& job) const;
+  Seconds fetch_s(Ix type, const Job& job) const;
+  static bool zone_bears_move(Ix zone, const Job& job, const Machine& from);
   void look_at_waiting();
   struct Usual {
     double run_s, unsure;  // `unsure`: of its logarithm, as a standard deviation
--- a/src/spread/moves.hpp
+++ b/src/spread/moves.hpp
@@ -22,7 +22,7 @@
 std::string_view name(Cause cause);
 
 struct Move {
-  Ix job = jobs::kNone, from = jobs::kNone, to = jobs::kNone;
+  Ix job = jobs::kNone, to = jobs::kNone;
   std::uint32_t task = 0;
   Cause cause{};
   Seconds since = 0;
@@ -52,7 +52,6 @@
   std::vector<Move> expired(Seconds now);
   std::vector<Move> of_machine(Ix machine);
   std::size_t under_way() const { return moves_.size(); }
-  const std::vector<Move>& all() const { return moves_; }
   const Counts& counts(Cause cause) const { return counts_[static_cast<std::size_t>(cause)]; }
 
  private:
--- a/src/spread/picture.cpp
+++ b/src/spread/picture.cpp
@@ -23,7 +23,6 @@
 
 void Picture::came(const Job& job, double core_s, Seconds now) {
   Load& load = loads_[{job.team, job.job_class}];
-  ++load.jobs;
   if (!job.service()) {
     load.lately.add(now, core_s);
     load.long_run.add(now, core_s);
@@ -38,22 +37,13 @@
 void Picture::placed(const Job& job, Ix zone, int tasks) {
   const double cores = tasks * job.spec.need.cpus;
   loads_[{job.team, job.job_class}].held += cores;
-  team(job.team).held += cores;
   if (zones_.size() <= zone) zones_.resize(zone + 1);
-  zones_[zone].held += cores;
-}
-
-void Picture::delivered(const Job& job, double core_s, Seconds now) {
-  loads_[{job.team, job.job_class}].delivered.add(now, core_s);
+  zones_[zone] += cores;
 }
 
 void Picture::ended(const Job& job) {
-  Load& load = loads_[{job.team, job.job_class}];
-  if (job.final_phase == wire::Phase::done || (job.service() && job.running > 0)) {
-    ++load.served;
-  } else if (load.jobs > 0) {
-    --load.jobs;  // its user no longer wants it
-  }
+  if (job.final_phase == wire::Phase::done || (job.service() && job.running > 0))
+    ++loads_[{job.team, job.job_class}].served;
 }
 
 void Picture::look() {
--- a/src/spread/picture.hpp
+++ b/src/spread/picture.hpp
@@ -1,4 +1,4 @@
-// One picture of the fleet's load: by team and class, what is offered, held, delivered and served; by zone
+// One picture of the fleet's load: by team and class, what is offered, held and served; by zone
 // and kind, what is in use; why jobs wait. Events and the time go in; every event costs what it touches.
 // Decisions, metrics and the log read the same figures. Everything in it is learned: it decides what is
 // better, never what is allowed.
@@ -23,10 +23,8 @@
     double held = 0;                        // cores in use
     double waiting = 0;                     // cores that wait, as of the last look
     Seconds oldest = 0;                     // the longest wait of a job among them
-    std::uint64_t jobs = 0;                 // that came, not counting cancelled ones
     std::uint64_t served = 0, late = 0;     // done; open and past every time that they should be over by
     Rate lately{kLately}, long_run{kLong};  // core-seconds that came, a second
-    Rate delivered{kLately};                // core-seconds of completed tasks, a second
     // Of those that came and are no longer expected to be in time by themselves, the share that got its work
     // done.
     double served_share() const {
@@ -38,9 +36,6 @@
       return usual > 0 ? lately.per_s(now) / usual : 1.0;
     }
   };
-  struct Place {  // a zone's machines of one kind
-    double held = 0;
-  };
   using Key = std::pair<Ix, Ix>;  // team, class
 
   void clear();
@@ -48,7 +43,6 @@
   // `core_s`: what it will take, by its estimate; of a service nothing can be said.
   void came(const Job& job, double core_s, Seconds now);
   void placed(const Job& job, Ix zone, int tasks);  // less than 0: they left
-  void delivered(const Job& job, double core_s, Seconds now);
   void ended(const Job& job);
   // Why jobs wait, told anew once a second for the jobs that do.
   void look();
@@ -57,24 +51,22 @@
   // ---- what it shows
   const std::map<Key, Load>& loads() const { return loads_; }
   const Load* of(Ix team, Ix job_class) const;
-  const std::vector<Place>& zones() const { return zones_; }
+  const std::vector<double>& zones() const { return zones_; }                     // cores in use
   const std::map<std::string_view, double>& reasons() const { return reasons_; }  // cores by why they wait
   // The cores that the team's services may ask for within that time, by what came so far: at least one
   // service as large as any that came.
   double services_soon(Ix team, Seconds within, Seconds now) const;
-  // Whether a class of services has to be up everywhere at once.
-  double held(Ix team) const { return team < teams_.size() ? teams_[team].held : 0; }
 
  private:
   static constexpr Seconds kLately = 20, kLong = 600;
   struct Team {
-    double held = 0, largest_service = 0;
+    double largest_service = 0;
     Rate services{kLong};
   };
   Team& team(Ix ix);
   std::map<Key, Load> loads_;  // a handful
   std::vector<Team> teams_;
-  std::vector<Place> zones_;
+  std::vector<double> zones_;
   std::map<std::string_view, double> reasons_;
 };
 
--- a/src/spread/speed.hpp
+++ b/src/spread/speed.hpp
@@ -35,9 +35,6 @@
   bool slow(std::size_t machine) const;
   double factor(std::size_t machine) const;
   void forget(std::size_t machine);  // it is gone
-  double spread() const {
-    return deviation_;
-  }  // of run times within a job, as a standard deviation of logarithms
 
  private:
   static constexpr std::size_t kSpeeds = 3;
--- a/tests/spread_test.cpp
+++ b/tests/spread_test.cpp
@@ -148,7 +148,7 @@
         EXPECT_DOUBLE_EQ(load ? load->held : 0, cores) << seed;
       }
       for (std::size_t z = 0; z < picture.zones().size(); ++z)
-        EXPECT_DOUBLE_EQ(picture.zones()[z].held, zones[z]) << seed;
+        EXPECT_DOUBLE_EQ(picture.zones()[z], zones[z]) << seed;
     }
   }
 }
--- a/tests/world_test.cpp
+++ b/tests/world_test.cpp
@@ -92,6 +92,19 @@
   return s;
 }
 
+// Without troubles of its own and of a fixed size: what happens is what the test orders.
+Plan scripted(std::uint64_t seed, int machines) {
+  Plan plan;
+  plan.seed = seed;
+  plan.fault_every_s = 0;
+  plan.limits = false;
+  plan.machines = machines;
+  plan.most_machines = static_cast<std::size_t>(machines);
+  plan.script = true;
+  plan.idle_return_s = 1e4;  // replicas move only because of the trouble
+  return plan;
+}
+
 struct Ride {
   Verdict verdict;
   std::size_t before = 0,
@@ -103,15 +116,7 @@
 Ride ride_through(std::uint64_t seed, int machines, const std::function<void(World&)>& trouble,
                   double lasts) {
   spdlog::set_level(spdlog::level::off);
-  Plan plan;
-  plan.seed = seed;
-  plan.fault_every_s = 0;
-  plan.limits = false;
-  plan.machines = machines;
-  plan.most_machines = static_cast<std::size_t>(machines);
-  plan.script = true;
-  plan.idle_return_s = 1e4;  // replicas move only because of the trouble
-  World world(plan);
+  World world(scripted(seed, machines));
   world.begin();
   world.step(5);
   for (int n = 1; n <= 3; ++n) {
@@ -319,14 +324,7 @@
 
 // A fleet with the decisions of docs/spread.md on, and aims for two classes.
 Plan spread_out(std::uint64_t seed, int machines, bool on = true) {
-  Plan plan;
-  plan.seed = seed;
-  plan.fault_every_s = 0;
-  plan.limits = false;
-  plan.machines = machines;
-  plan.most_machines = static_cast<std::size_t>(machines);
-  plan.script = true;
-  plan.idle_return_s = 1e4;
+  Plan plan = scripted(seed, machines);
   plan.spread = on;
   plan.objectives = {{"finished", "batch", 120, 0.9, 1}, {"wait", "live", 2, 0.9, 1}};
   return plan;
