--- a/tests/cells_world.cpp
+++ b/src/emulator/cells_world.cpp
@@ -1,4 +1,4 @@
-#include "cells_world.hpp"
+#include "emulator/cells_world.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/cells_world.hpp
+++ b/src/emulator/cells_world.hpp
@@ -1,10 +1,10 @@
-// Several cells in virtual time: simulated clusters (tests/world.hpp), each with its own controllers, state
+// Several cells in virtual time: simulated clusters (world.hpp), each with its own controllers, state
 // service, cloud and workers, and the links between them, which delay, lose, hold, double and refuse. The
 // rules are checked over all of them: a task that is on a machine of one cell must not start in another, and
 // neither must any task of its job.
 #pragma once
 
-#include "world.hpp"
+#include "emulator/world.hpp"
 
 namespace wingtrail::world {
 
--- /dev/null
+++ b/src/emulator/parts.hpp
@@ -0,0 +1,71 @@
+// What the units of the simulated cluster share: its components' state, and the worker settings of the
+// platform.
+#pragma once
+
+#include "emulator/world.hpp"
+
+namespace wingtrail::world {
+
+inline constexpr double kSpan = 5;  // over which changes are counted against the budget
+inline constexpr double kSeenWithin =
+    20;  // of a zone's end of contact, with as few machines as some tests have
+inline constexpr double kReport = 3, kLease = 20, kCancel = 30, kGangWait = 25, kGangPeer = 8;
+inline std::string node_name(std::size_t i) { return "node-" + std::to_string(i); }
+
+struct World::TaskOn {
+  std::string name;
+  std::uint64_t attempt = 0;
+  std::string phase;  // pulling, running, exited
+  std::string cause;
+  UserJob* job = nullptr;
+  std::uint32_t index = 0;
+  bool on() const { return phase == "running" || phase == "gathering"; }
+};
+
+struct World::Host {
+  std::string name, addr;
+  std::size_t type = 0, zone = 0;
+  bool spot = false, up = false, gone = false, dead = false, never = false, sick = false;
+  double hired = 0, hung_until = -1, slow = 1, rate = 1;
+  std::uint64_t session = 1, seq = 0, token = 0;
+  double lease_from = 0;
+  std::size_t node = 0;
+  bool reporting = false;
+  double next_beat = 0, last_beat = -1;
+  std::uint64_t beat_serial = 0;
+  std::vector<TaskOn> tasks;
+  std::set<std::string> images;
+};
+
+struct World::UserJob {
+  wire::JobSpec spec;
+  Value body;
+  double run_s = 10;
+  bool bad = false;
+  bool submitted = false, accepted = false, given_up = false;
+  bool want_abort = false, aborted = false;
+  double told_cancelled = -1;
+  bool told_done = false;
+  std::set<std::uint32_t> done, begun;
+  std::vector<UserJob*> needs, needed_by;
+  double came = 0, accepted_at = -1, over_at = -1;
+  double doomed_at = -1;  // since when a job that it needs, or itself, is known to be cancelled
+  bool over() const { return done.size() >= spec.tasks; }
+};
+
+struct World::Ctl {
+  std::unique_ptr<daemon::Node> node;
+  std::uint64_t life = 0;
+  double rate = 1, paused_until = -1, wake = -1;
+  std::uint64_t requests = 0;
+  std::map<std::uint64_t, OnAnswer> open;
+  bool led = false;
+  bool former = false;  // runs with the settings, and so the layout, of before the upgrade
+};
+
+struct World::Link {
+  double cut_until = -1;
+  bool hold = false;
+};
+
+}  // namespace wingtrail::world
--- /dev/null
+++ b/src/emulator/rules.cpp
@@ -0,0 +1,144 @@
+// The rules of the protocol, checked against what really is on the machines.
+#include <algorithm>
+#include <cmath>
+
+#include "emulator/parts.hpp"
+
+namespace wingtrail::world {
+
+// What the leader takes for used on a machine is what its tasks there need, once no move is under way.
+void World::check_rooms() {
+  for (const auto& c : ctls_) {
+    if (!c->node || !c->node->entitled()) continue;
+    const daemon::Stats stats = c->node->stats();
+    if (stats.moves_begun > stats.moves_done + stats.moves_failed) continue;
+    for (const agents::Machine& m : c->node->agents().all()) {
+      if (m.gone) continue;
+      double cpus = 0;
+      for (const agents::Slot& s : m.slots) cpus += s.counted && !s.ends_at_once() ? s.need.cpus : 0;
+      if (std::abs(cpus - m.used.cpus) > 1e-6)
+        broke("room",
+              m.host + ": " + std::to_string(m.used.cpus) + " used, " + std::to_string(cpus) + " held");
+    }
+  }
+}
+
+World::UserJob* World::described(const std::string& ref) {
+  if (const auto job = jobs_.find(ref); job != jobs_.end()) return job->second.get();
+  if (!reach_) return nullptr;
+  for (World* other : reach_->cells) {
+    if (const auto job = other->jobs_.find(ref); job != other->jobs_.end()) return job->second.get();
+  }
+  return nullptr;
+}
+
+// A job has one holder among cells: nothing of it is on a machine of another.
+void World::check_other_cells(const TaskOn& task, const UserJob& job) {
+  if (!reach_) return;
+  verdict_.guests_started += !jobs_.contains(job.spec.ref);
+  for (World* other : reach_->cells) {
+    if (other == this) continue;
+    for (const auto& [name, h] : other->hosts_) {
+      if (h->gone || h->dead || (t_ - h->lease_from) * h->rate > kLease) continue;
+      for (const TaskOn& x : h->tasks) {
+        if (x.job != &job || !x.on()) continue;
+        broke(x.index == task.index ? "ran_twice" : "two_holders",
+              task.name + " begins in " + settings_.cells.name + ", " + x.name + " is on " + name + " of " +
+                  other->settings_.cells.name);
+      }
+    }
+  }
+}
+
+void World::check_start(Host& h, TaskOn& task, UserJob& job) {
+  ++verdict_.started;
+  verdict_.started_again += !job.begun.insert(task.index).second;
+  check_other_cells(task, job);
+  const wire::JobSpec& s = job.spec;
+  std::map<std::size_t, int> zones;
+  double team = 0;
+  for (auto& [name, other] : hosts_) {
+    if (other->gone || other->dead) continue;
+    // Beyond its lease a hanging worker's tasks are over: it kills them before it does anything else.
+    if ((t_ - other->lease_from) * other->rate > kLease) continue;
+    for (const TaskOn& x : other->tasks) {
+      if (!x.on()) continue;
+      if (x.job->spec.team == s.team) team += x.job->spec.need.cpus;
+      if (x.job != &job) continue;
+      if (&x == &task) continue;
+      if (x.index == task.index) broke("ran_twice", task.name + " on " + h.name + " and on " + name);
+      ++zones[other->zone];
+    }
+  }
+  for (const auto& t : settings_.teams) {
+    if (t.name == s.team && t.cpus_max > 0 && team > t.cpus_max + 1e-6) {
+      broke("quota", s.team + " uses " + std::to_string(team));
+    }
+  }
+  if (h.spot && !s.spot) broke("wrong_place", task.name + " on spot");
+  if (s.zone && *s.zone != settings_.zones[h.zone])
+    broke("wrong_place", task.name + " in a zone it may not be in");
+  if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), catalog_[h.type].name) == s.types.end()) {
+    broke("wrong_place", task.name + " on a type it may not be on");
+  }
+  if (s.spread && zones[h.zone] + 1 > static_cast<int>((s.tasks + 1) / 2))
+    broke("wrong_place", task.name + " spread");
+  if (s.one_zone) {
+    for (const auto& [zone, n] : zones) {
+      if (zone != h.zone && n > 0) broke("wrong_place", task.name + " away from its zone");
+    }
+  }
+  if (job.doomed_at >= 0 && t_ > job.doomed_at + kCancel) broke("ran_cancelled", task.name + " started");
+  for (const UserJob* need : job.needs) {
+    if (!need->over()) broke("too_early", task.name + " before " + need->spec.ref);
+  }
+}
+
+void World::check_cancelled() {
+  // A walk over all machines after each step would be most of a large world's time; what it looks for lasts.
+  if (plan_.machines > 100 && t_ < checked_at_ + 0.5) return;
+  checked_at_ = t_;
+  // What waits for others takes nothing: neither room nor a part of its team's limit.
+  for (auto& c : ctls_) {
+    if (!c->node || !c->node->entitled() || !plan_.chains) continue;
+    c->node->registry().each([this](const jobs::Job& job) {
+      const UserJob& real = *described(job.spec.ref);
+      const bool waits =
+          std::any_of(real.needs.begin(), real.needs.end(), [](const UserJob* n) { return !n->over(); });
+      if (waits && job.placed > 0) broke("waiting_placed", job.spec.ref);
+    });
+  }
+  for (auto& [name, h] : hosts_) {
+    if (h->gone || h->dead || (t_ - h->lease_from) * h->rate > kLease) continue;
+    for (const TaskOn& x : h->tasks) {
+      if (x.on() && x.job->doomed_at >= 0 && t_ > x.job->doomed_at + kCancel) {
+        return broke("ran_cancelled", x.name + " on " + name);
+      }
+    }
+  }
+}
+
+// From when it and all that need it are cancelled, as far as their users know.
+void World::doom(UserJob& job, double since) {
+  // One that is still being submitted is accepted all the same, and counts from then (seed 700681: it took
+  // its user 40 s of retries).
+  if (job.doomed_at >= 0 || !job.accepted) return;
+  job.doomed_at = since;
+  for (UserJob* next : job.needed_by) doom(*next, since);
+}
+
+bool World::may_be_cancelled(const UserJob& job) const {
+  if (job.told_done || (job.over() && job.spec.shape != wire::Shape::service && !job.want_abort))
+    return false;
+  return job.want_abort || std::any_of(job.needs.begin(), job.needs.end(),
+                                       [this](const UserJob* n) { return may_be_cancelled(*n); });
+}
+
+// Neither done nor bound to be: cancelled, submitted with a mistake, or in need of one that is.
+bool World::hopeless(const UserJob& job) const {
+  if (job.bad || job.told_cancelled >= 0 || job.doomed_at >= 0) return true;
+  return std::any_of(job.needs.begin(), job.needs.end(),
+                     [this](const UserJob* n) { return !n->over() && (n->want_abort || hopeless(*n)); });
+}
+
+}  // namespace wingtrail::world
--- /dev/null
+++ b/src/emulator/state_service.cpp
@@ -0,0 +1,209 @@
+// The state service: keys, leases, watches, budgets, and how it fails.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "emulator/parts.hpp"
+
+namespace wingtrail::world {
+
+void World::state_outage(double for_s) {
+  state_down_until_ = std::max(state_down_until_, t_ + for_s);
+  at(state_down_until_, [this] {
+    if (t_ < state_down_until_) return;
+    for (auto& [id, lease] : leases_) lease.second = t_ + lease.first;
+    serve_watches();
+  });
+}
+
+void World::state_slow(double for_s) { state_slow_until_ = t_ + for_s; }
+
+void World::bump(const std::string& key, Value value, bool erased) {
+  changes_.push_back({revision_, key, std::move(value), erased});
+}
+
+void World::expire_leases() {
+  if (t_ < state_down_until_) return;
+  for (auto it = leases_.begin(); it != leases_.end();) {
+    if (t_ < it->second.second) {
+      ++it;
+      continue;
+    }
+    const std::uint64_t id = it->first;
+    it = leases_.erase(it);
+    ++revision_;
+    spdlog::debug("{:.3f} lease {} is over", t_, id);
+    for (auto k = store_.begin(); k != store_.end();) {
+      if (k->second.lease == id) {
+        bump(k->first, nullptr, true);
+        k = store_.erase(k);
+      } else {
+        ++k;
+      }
+    }
+    serve_watches();
+  }
+}
+
+void World::serve_watches() {
+  if (t_ < state_down_until_) return;
+  std::vector<std::pair<std::shared_ptr<Watch>, Value>> ready;
+  for (auto& w : watches_) {
+    if (!w->open || t_ < state_refuses_[w->node]) continue;
+    Value events = Value::array();
+    for (const Change& c : changes_) {
+      if (c.revision <= w->after || !c.key.starts_with(w->prefix)) continue;
+      events.push_back(c.erased ? Value{{"delete", c.key}, {"stamp", c.revision}}
+                                : Value{{"put", c.key}, {"data", c.value}, {"stamp", c.revision}});
+    }
+    if (events.empty()) continue;
+    w->open = false;
+    ready.emplace_back(w, Value{{"ledgerRev", revision_}, {"events", std::move(events)}});
+  }
+  std::erase_if(watches_, [](const auto& w) { return !w->open; });
+  for (auto& [w, body] : ready) w->reply(200, std::move(body));
+}
+
+// Its time is over: it is answered, with nothing if nothing has changed. While its node is refused, or the
+// service is down, it waits; an answer without what has changed meanwhile would be a wrong one (seed 100101).
+void World::end_watch(const std::shared_ptr<Watch>& w) {
+  if (!w->open) return;
+  if (t_ < state_down_until_ || t_ < state_refuses_[w->node]) return later(0.3, [this, w] { end_watch(w); });
+  serve_watches();
+  if (!w->open) return;
+  w->open = false;
+  std::erase(watches_, w);
+  w->reply(200, {{"ledgerRev", revision_}, {"events", Value::array()}});
+}
+
+void World::state(std::size_t node, const std::string& method, const std::string& path, const Value& body,
+                  Reply reply) {
+  expire_leases();
+  if (t_ < state_down_until_ || t_ < state_refuses_[node]) return reply(503, Value::object());
+  const double passed = t_ - state_at_;
+  state_level_ = std::min(settings_.state_rps, state_level_ + passed * settings_.state_rps);
+  state_at_ = t_;
+  const settings::Settings& granted = lowered_ || !plan_.upgrade ? settings_ : former_;
+  write_level_ = std::min(granted.state_write_rps, write_level_ + passed * granted.state_write_rps);
+  if (t_ < state_slow_until_) {
+    reply = [this, reply = std::move(reply)](int status, Value out) {
+      later(between(0.02, 0.4), [reply, status, out = std::move(out)] { reply(status, out); });
+    };
+  }
+  if (state_level_ < 1) return reply(429, Value::object());
+  state_level_ -= 1;
+  auto query = [&](const char* name) {
+    const auto from = path.find(std::string(name) + "=");
+    if (from == std::string::npos) return std::string();
+    const auto begin = from + std::string(name).size() + 1;
+    return path.substr(begin, path.find('&', begin) - begin);
+  };
+  if (method == "POST" && path == "/leases") {
+    const double ttl = body["ttlMs"].get<double>() / 1000;
+    leases_[++leases_made_] = {ttl, t_ + ttl};
+    return reply(200, {{"permit", leases_made_}});
+  }
+  if (path.starts_with("/leases/")) {
+    const std::uint64_t id = std::stoull(path.substr(8));
+    auto it = leases_.find(id);
+    if (it == leases_.end()) return reply(404, Value::object());
+    it->second.second = method == "DELETE" ? t_ : t_ + it->second.first;
+    if (method == "DELETE") expire_leases();
+    return reply(200, Value::object());
+  }
+  if (path.starts_with("/follow")) {
+    auto w = std::make_shared<Watch>(Watch{query("prefix"), std::stoull(query("after")), reply, node});
+    watches_.push_back(w);
+    later(std::stod(query("holdMs")) / 1000, [this, w] { end_watch(w); });
+    return serve_watches();
+  }
+  if (path.starts_with("/kv?")) {
+    const std::string prefix = query("prefix"), after = query("after");
+    const std::size_t most =
+        std::min<std::size_t>(std::stoul(query("most")), 7);  // small pages: paging is used
+    Value items = Value::array();
+    bool more = false;
+    for (auto it = store_.upper_bound(std::max(after, prefix.substr(0, prefix.size() - 1)));
+         it != store_.end(); ++it) {
+      if (!it->first.starts_with(prefix) || it->first <= after) continue;
+      if (items.size() == most) {
+        more = true;
+        break;
+      }
+      items.push_back({{"path", it->first}, {"data", it->second.value}, {"stamp", it->second.version}});
+    }
+    return reply(200, {{"items", items}, {"more", more}, {"ledgerRev", revision_}});
+  }
+  if (path.starts_with("/kv/")) {
+    auto it = store_.find(path.substr(4));
+    if (it == store_.end()) return reply(404, {{"ledgerRev", revision_}});
+    return reply(200, {{"path", it->first}, {"data", it->second.value}, {"stamp", it->second.version}});
+  }
+  if (path == "/txn" && plan_.late_writes > 0 && odds(plan_.late_writes)) {
+    later(between(2, 12),
+          [this, node, method, path, body] { state(node, method, path, body, [](int, const Value&) {}); });
+    return;
+  }
+  if (path == "/txn") {
+    // A node that knows of lower limits to come keeps to them from its first second.
+    const settings::Settings& declared = ctls_[node]->former ? former_ : settings_;
+    const auto most = static_cast<std::size_t>(std::max(3.0, granted.txn_ops * plan_.undeclared));
+    const auto beyond = [&](const settings::Settings& s, std::size_t ops, double share) {
+      bool over = body["apply"].size() > ops || body["if"].size() > 4 * ops || body.dump().size() > 65536;
+      for (const Value& op : body["apply"])
+        over |= op.contains("data") && op["data"].dump().size() > s.value_kb * 1024 * share;
+      return over;
+    };
+    if (beyond(declared, static_cast<std::size_t>(declared.txn_ops), 1))
+      broke("protocol", "a transaction over the limits: " + body.dump().substr(0, 300));
+    if (beyond(granted, most, plan_.undeclared)) {
+      ++verdict_.over_limits;
+      return reply(400, {{"error", "limits"}});
+    }
+    const auto changes = static_cast<double>(body["apply"].size());
+    write_asks_.emplace_back(t_, changes);
+    asked_in_span_ += changes;
+    while (write_asks_.front().first < t_ - kSpan) {
+      asked_in_span_ -= write_asks_.front().second;
+      write_asks_.pop_front();
+    }
+    verdict_.most_writes = std::max(verdict_.most_writes, asked_in_span_ / granted.state_write_rps / kSpan);
+    if (changes > 0 && write_level_ < changes) return reply(429, Value::object());
+    write_level_ -= changes;
+    Value failed = Value::array();
+    for (const Value& c : body["if"]) {
+      auto it = store_.find(c["path"].get<std::string>());
+      const std::uint64_t version = it == store_.end() ? 0 : it->second.version;
+      if (version != c["stamp"].get<std::uint64_t>()) failed.push_back(c["path"]);
+    }
+    if (!failed.empty()) return reply(409, {{"failed", failed}, {"ledgerRev", revision_}});
+    if (body["apply"].empty()) return reply(200, {{"ledgerRev", revision_}});
+    for (const Value& op : body["apply"]) {
+      if (op.contains("permit") && !leases_.contains(op["permit"].get<std::uint64_t>())) {
+        return reply(400, {{"error", "no such lease"}});
+      }
+    }
+    ++revision_;
+    for (const Value& op : body["apply"]) {
+      if (op.contains("put")) {
+        const auto key = op["put"].get<std::string>();
+        if (jobs::is_sheet(key)) verdict_.on_sheets += op["data"].size();
+        store_[key] = {op["data"], revision_, op.contains("permit") ? op["permit"].get<std::uint64_t>() : 0};
+        bump(key, op["data"], false);
+      } else if (store_.erase(op["delete"].get<std::string>())) {
+        bump(op["delete"].get<std::string>(), nullptr, true);
+      }
+    }
+    spdlog::debug("{:.3f} {}: {} {}", t_, node_name(node), revision_, body["apply"].dump());
+    reply(200, {{"ledgerRev", revision_}});
+    return serve_watches();
+  }
+  reply(400, Value::object());
+}
+
+std::size_t World::sheets() const {
+  return static_cast<std::size_t>(
+      std::count_if(store_.begin(), store_.end(), [](const auto& e) { return jobs::is_sheet(e.first); }));
+}
+
+}  // namespace wingtrail::world
--- /dev/null
+++ b/src/emulator/troubles.cpp
@@ -0,0 +1,139 @@
+// Troubles, at random and as tests order them.
+#include <spdlog/spdlog.h>
+
+#include "emulator/parts.hpp"
+
+namespace wingtrail::world {
+
+void World::cut_node(std::size_t i, bool from_state, bool from_peers, double for_s, bool hold) {
+  if (from_state) cut(node_name(i), "state", for_s, hold);
+  for (std::size_t k = 0; k < plan_.nodes; ++k) {
+    if (from_peers && k != i) cut(node_name(i), node_name(k), for_s, hold);
+  }
+}
+
+void World::slow_machines(std::size_t n, double factor) {
+  for (auto& [name, h] : hosts_) {
+    if (n == 0) return;
+    if (h->gone || h->dead || !h->up) continue;
+    h->slow = factor;
+    --n;
+  }
+}
+
+void World::kill_machines(std::size_t n) {
+  for (auto& [name, h] : hosts_) {
+    if (n == 0) return;
+    if (h->gone || h->dead || !h->up) continue;
+    h->dead = true;
+    h->tasks.clear();
+    --n;
+  }
+}
+
+void World::kill_in_zone(std::size_t zone, std::size_t n) {
+  for (auto& [name, h] : hosts_) {
+    if (n == 0) return;
+    if (h->gone || h->dead || !h->up || h->zone != zone) continue;
+    h->dead = true;
+    h->tasks.clear();
+    --n;
+  }
+}
+
+void World::trouble() {
+  if (t_ > plan_.duration_s) return;
+  later(between(0, 2 * plan_.fault_every_s), [this] { trouble(); });
+  std::vector<Host*> live;
+  for (auto& [n, h] : hosts_) {
+    if (!h->gone && !h->dead && h->up) live.push_back(h.get());
+  }
+  const std::size_t i = pick(plan_.nodes);
+  const bool hold = odds(0.5);
+  const double span = between(1, 25);
+  const auto kind = pick(plan_.cuts ? 18 : 13);
+  spdlog::debug("{:.3f} trouble {} for {:.1f} s, node {}", t_, kind, span, i);
+  switch (kind) {
+    case 0:
+      return crash(i);
+    case 1:
+      for (std::size_t k = 0; k < plan_.nodes; ++k) {
+        if (odds(0.8)) crash(k);
+      }
+      return;
+    case 2:
+      return state_outage(span);
+    case 3:
+      state_refuses_[i] = t_ + span;
+      return;
+    case 4:
+      return cut(node_name(i), "state", span, hold);
+    case 5:
+      for (auto& [n, h] : hosts_) cut(node_name(i), n, span, hold);
+      return;
+    case 6:
+      for (std::size_t k = 0; k < plan_.nodes; ++k) {
+        if (k != i) cut(node_name(i), node_name(k), span, hold);
+      }
+      return;
+    case 7:
+      for (auto& [n, h] : hosts_) cut(node_name(i), n, span, hold);
+      for (std::size_t k = 0; k < plan_.nodes; ++k) {
+        if (k != i) cut(node_name(i), node_name(k), span, hold);
+      }
+      cut(node_name(i), "state", span, hold);
+      cut(node_name(i), "users", span, hold);
+      return;
+    case 8:
+      ctls_[i]->paused_until = t_ + between(0.2, 8);
+      return;
+    case 9:
+      cloud_down_until_ = t_ + span;
+      return;
+    case 10:
+      no_capacity_until_ = t_ + span;
+      return;
+    case 13:
+    case 14:
+      return cut_zone(pick(plan_.zones), between(2, 90), hold);
+    case 15:
+      return state_outage(between(5, 50));
+    case 16:
+      ctls_[i]->paused_until = t_ + between(5, 40);
+      return;
+    case 17:
+      if (odds(0.5)) {
+        state_slow_until_ = t_ + span;
+        return;
+      }
+      for (Host* h : live) {
+        if (odds(0.5)) h->hung_until = t_ + span * between(0.9, 1.1);
+      }
+      return;
+    default:
+      break;
+  }
+  if (live.empty()) return;
+  Host& h = *live[pick(live.size())];
+  const auto harm = pick(5);
+  spdlog::debug("{:.3f} {}: trouble {}", t_, h.name, harm);
+  switch (harm) {
+    case 0:
+      h.hung_until = t_ + between(1, 35);
+      return;
+    case 1:
+      h.dead = true;
+      h.tasks.clear();
+      return;
+    case 2:
+      h.sick = true;
+      return;
+    case 3:
+      h.slow = 3;
+      return;
+    default:
+      for (std::size_t k = 0; k < plan_.nodes; ++k) cut(node_name(k), h.name, span, hold);
+  }
+}
+
+}  // namespace wingtrail::world
--- /dev/null
+++ b/src/emulator/world.cpp
@@ -0,0 +1,179 @@
+// The simulated cluster as a whole: its plan, its time, and the verdict at the end.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "emulator/parts.hpp"
+
+namespace wingtrail::world {
+
+Plan plan_of(std::uint64_t seed) {
+  Plan plan;
+  plan.seed = seed;
+  plan.limits = seed % 4 != 0;
+  plan.chains = seed % 2 != 0;
+  // Stage after stage on a machine that is three times slower takes longer than any one job (seed 21279).
+  if (plan.chains) plan.settle_s = 1500;
+  plan.upgrade = seed % 3 == 0;
+  plan.cuts = seed % 5 < 2;
+  plan.spread = seed / 2 % 2 == 0;
+  plan.lives = seed / 3 % 2 == 0;
+  plan.agreed = seed / 4 % 2 == 0;
+  if (plan.agreed) plan.custody_leases = 4;
+  if (seed % 7 < 3) plan.back_from = 0.05, plan.back_to = 0.3;
+  if (seed % 6 == 1) plan.zones = 3;
+  plan.admission = seed / 5 % 2 == 0;
+  return plan;
+}
+
+World::World(Plan plan, Outside outside)
+    : plan_(std::move(plan)), outside_(std::move(outside)), rng_(plan_.seed) {
+  for (std::size_t z = 0; z < plan_.zones; ++z)
+    settings_.zones.push_back(std::string("z").append(std::to_string(z)));
+  settings_.teams = {{"red", 32, plan_.limits ? 64.0 : 0, 0, 0}, {"blue", 16, plan_.limits ? 48.0 : 0, 0, 0}};
+  settings_.report_s = kReport;
+  settings_.lease_s = kLease;
+  settings_.cancel_s = kCancel;
+  settings_.state_rps = 150;
+  settings_.state_write_rps = 60;
+  settings_.list_lag_s = 3;
+  settings_.cloud_rps = 10;
+  settings_.tunables.idle_return_s = plan_.idle_return_s;
+  wire::MachineType a{"big", 16, 0, 64, 50, 1.0, 1.0, 0.4, 12, settings_.zones};
+  wire::MachineType b{"small", 8, 0, 32, 50, 1.0, 0.6, 0.2, 8, settings_.zones};
+  settings_.tunables.headroom = plan_.headroom;
+  settings_.tunables.spread = plan_.spread;
+  settings_.tunables.zones = plan_.lives;
+  settings_.tunables.admission = plan_.admission;
+  settings_.tunables.custody_consent = plan_.agreed;
+  settings_.tunables.custody_leases = plan_.custody_leases;
+  settings_.objectives = plan_.objectives;
+  if (plan_.cells > 1) {
+    settings_.cells.name = std::string("c").append(std::to_string(plan_.cell));
+    settings_.cells.drain = plan_.drain;
+    for (std::size_t c = 0; c < plan_.cells; ++c) {
+      if (c == plan_.cell) continue;
+      settings_.cells.neighbours.push_back(
+          {std::string("c").append(std::to_string(c)), std::vector<settings::Endpoint>(plan_.nodes)});
+    }
+  }
+  catalog_ = {a, b};
+  zone_cuts_.resize(settings_.zones.size());
+  for (std::size_t i = 0; i < plan_.nodes; ++i) {
+    ctls_.push_back(std::make_unique<Ctl>());
+    ctls_[i]->rate = 1 + between(-0.0005, 0.0005);
+  }
+  if (plan_.machines > 100) {  // budgets as of a large deployment
+    settings_.max_connections = 2 * plan_.machines;
+    settings_.state_write_rps = 30;
+  }
+  if (plan_.write_rps > 0) settings_.state_write_rps = plan_.write_rps;
+  former_ = settings_;
+  if (plan_.upgrade) {
+    settings_.value_kb = 2;
+    settings_.txn_ops = 4;
+    settings_.state_write_rps *= 0.7;
+    for (auto& c : ctls_) c->former = true;
+    former_.tunables.admission = 0;  // of a version that does not know them
+  }
+  state_level_ = settings_.state_rps, write_level_ = former_.state_write_rps;
+  for (int i = 0; i < plan_.machines; ++i)
+    add_host(static_cast<std::size_t>(i % 2), static_cast<std::size_t>(i / 2) % plan_.zones, false, 0);
+}
+
+World::~World() = default;
+
+void World::at(double when, std::function<void()> fn) { events_.emplace(std::max(when, t_), std::move(fn)); }
+
+Verdict World::run() {
+  begin();
+  step(plan_.duration_s + plan_.settle_s);
+  return close();
+}
+
+void World::begin() {
+  for (std::size_t i = 0; i < plan_.nodes; ++i) at(between(0, 0.2), [this, i] { boot(i); });
+  if (!plan_.script) at(1, [this] { submit_some(); });
+  if (plan_.fault_every_s > 0) at(plan_.fault_every_s, [this] { trouble(); });
+  at(0, [this] { keep_listing(); });
+  if (!plan_.upgrade) return;
+  // One after the other, whatever else goes on; a node that dies before its turn comes back as it was.
+  double when = between(15, 60);
+  for (std::size_t i = 0; i < plan_.nodes; ++i, when += between(4, 20)) {
+    at(when, [this, i] {
+      ctls_[i]->former = false;
+      if (ctls_[i]->node || outside_.crash) crash(i);
+    });
+  }
+  if (outside_.boot) chains_from_ = when;
+  at(when + between(0, 40), [this] {
+    spdlog::debug("{:.3f} the state service lowers its limits", t_);
+    lowered_ = true;
+  });
+}
+
+void World::step(double until) {
+  while (!events_.empty() && events_.begin()->first < until && verdict_.broken.empty()) {
+    auto node = events_.extract(events_.begin());
+    t_ = node.key();
+    node.mapped()();
+    expire_leases();
+    check_cancelled();
+  }
+  if (outside_.deliver) t_ = std::max(t_, until);
+}
+
+const Verdict& World::close() {
+  check_rooms();
+  for (auto& [ref, job] : jobs_) {
+    if (!job->accepted || job->spec.shape == wire::Shape::service || job->over() || hopeless(*job)) continue;
+    ++verdict_.unfinished;
+    spdlog::debug("unfinished: {} {} of {}: {}", ref, job->done.size(), job->spec.tasks, job->body.dump());
+    for (auto& c : ctls_) {
+      if (!c->node || !c->node->entitled()) continue;
+      jobs::Job* known = c->node->registry().find(ref);
+      spdlog::debug("  leader: known {}, pending {}, placed {}, failed on {} machines", known != nullptr,
+                    known ? known->pending.size() : 0, known ? known->placed : 0,
+                    known ? known->failed_on.size() : 0);
+      if (known)
+        spdlog::debug("  unmet {}, orphan {}, closing {}, away {}, aborting {}, not before {:.1f} s",
+                      known->unmet, known->orphan, known->closing, known->away, known->aborting,
+                      known->not_before - node_time(*c));
+      for (auto& m : c->node->agents().all()) {
+        if (m.gone) continue;
+        spdlog::debug(
+            "    {} type {} zone {} spot {} used {}/{} reporting {} settled {} enlisted {} health {} unknown "
+            "{} "
+            "draining {} returning {} may_start {}",
+            m.host, m.type, m.zone, m.spot, m.used.cpus, m.cpus, m.reporting, m.settled, m.enlisted,
+            static_cast<int>(m.health), m.unknown, m.draining, m.returning, c->node->agents().may_start(m));
+      }
+    }
+  }
+  return verdict_;
+}
+
+std::optional<daemon::Stats> World::leader_stats() const {
+  for (const auto& c : ctls_) {
+    if (c->node && c->node->entitled()) return c->node->stats();
+  }
+  return std::nullopt;
+}
+
+void World::broke(const std::string& rule, const std::string& how) {
+  verdict_.broken.push_back(rule + " at " + std::to_string(t_) + " (seed " + std::to_string(plan_.seed) +
+                            "): " + how);
+}
+
+std::optional<std::size_t> World::leader() const {
+  for (std::size_t i = 0; i < ctls_.size(); ++i) {
+    if (ctls_[i]->node && ctls_[i]->node->entitled()) return i;
+  }
+  return std::nullopt;
+}
+
+bool World::former(std::size_t node) const { return ctls_[node]->former; }
+
+double World::node_time(const Ctl& c) const { return 1000 + t_ * c.rate; }
+
+}  // namespace wingtrail::world
--- a/tests/world.hpp
+++ b/src/emulator/world.hpp
@@ -52,7 +52,7 @@
   double custody_leases = 2;          // how long a custodian may go on
   double back_from = 1, back_to = 6;  // within what time a controller that ended is back
   std::vector<settings::Objective> objectives;
-  // One of several cells, numbered from 0; see tests/cells_world.hpp.
+  // One of several cells, numbered from 0; see cells_world.hpp.
   std::size_t cell = 0, cells = 1;
   bool drain = false;  // it is to be emptied
   // A fault planted on purpose, to show that a check can fail. See docs/safety.md.
--- a/tests/cells_lab.cpp
+++ b/tests/cells_lab.cpp
@@ -9,7 +9,7 @@
 #include <iomanip>
 #include <iostream>
 
-#include "cells_world.hpp"
+#include "emulator/cells_world.hpp"
 
 namespace wingtrail::world {
 namespace {
--- a/tests/cluster.cpp
+++ b/tests/cluster.cpp
@@ -27,7 +27,7 @@
 
 #include "net/http.hpp"
 #include "net/loop.hpp"
-#include "world.hpp"
+#include "emulator/world.hpp"
 
 namespace wingtrail::world {
 namespace {
--- a/tests/rides.hpp
+++ b/tests/rides.hpp
@@ -7,7 +7,7 @@
 
 #include <cstdlib>
 
-#include "world.hpp"
+#include "emulator/world.hpp"
 
 namespace wingtrail::world {
 
--- a/tests/world_hunt.cpp
+++ b/tests/world_hunt.cpp
@@ -4,7 +4,7 @@
 #include <cstring>
 #include <iostream>
 
-#include "cells_world.hpp"
+#include "emulator/cells_world.hpp"
 
 namespace {
 
