Cancellations rest on one proof; orphans are nowhere called queued; what an earlier leadership read is void

(2) With custody_leases 0 a cancellation was told while a start could still be on its way; a task of any unknown job held back all cancellations of older jobs. (3) A read or creation that an earlier leadership of the same node had begun could bring a job back that another leader had ended. (4) A cancellation mark that met its job's end stayed for ever. (5) After too many missed changes only the first 500 live keys were read again. Change: hand_on says what the peer answered, Chains::undecided, gone_for_sure without exceptions and by job, live_record carries the term, marks without a job are swept, read_more.

--- a/src/agents/agents.cpp
+++ b/src/agents/agents.cpp
@@ -68,7 +68,8 @@
   alarm_until_ = 0;
   due_ = {};
   doubts_.clear();
-  in_doubt_ = unsized_ = unknown_ = calls_ = 0;
+  in_doubt_ = unsized_ = calls_ = 0;
+  unplaced_.clear();
   doubt_sum_ = {};
   team_use_.assign(settings_.teams.size(), {});
 }
@@ -357,8 +358,7 @@
   s.phase = Slot::Phase::fetching;
   if (s.counted) {
     s.stop = true;
-    ++m.unknown;
-    ++unknown_;
+    unplaced(m, s, 1);
     if (over) spdlog::info("{} holds {} of a job that is over: stopping it", m.host, s.name);
     account(m);
     m.news = true;
@@ -404,13 +404,18 @@
   ended_.push_back(s);
 }
 
+void Agents::unplaced(Machine& m, const Slot& s, int tasks) {
+  m.unknown += tasks;
+  const std::string ref = s.name.substr(0, s.name.rfind('/'));
+  if ((unplaced_[ref] += tasks) <= 0) unplaced_.erase(ref);
+}
+
 void Agents::release(Machine& m, Slot& s) {
   if (!s.counted) return;
   s.counted = false;
   changed(m);
   if (s.job == kNone) {
-    --m.unknown;
-    --unknown_;
+    unplaced(m, s, -1);
     account(m);
     return;
   }
--- a/src/agents/agents.hpp
+++ b/src/agents/agents.hpp
@@ -97,7 +97,8 @@
   // What tasks that are not known here can use at most; nothing if not even that is known.
   std::optional<wire::Resources> unaccounted() const;
 
-  int unknown() const { return unknown_; }  // tasks on machines that belong to no open job
+  // Whether a machine has a task of the job beside those that are placed: found where it can't be adopted.
+  bool holds_unplaced(const std::string& ref) const { return unplaced_.contains(ref); }
 
   const Index& index();  // up to date
   bool may_start(const Machine& m) const;
@@ -116,6 +117,7 @@
   void adopt(Machine& m, const wire::TaskReport& t);
   void update(Machine& m, Slot& s, const wire::TaskReport& t);
   void release(Machine& m, Slot& s);  // it no longer occupies anything
+  void unplaced(Machine& m, const Slot& s, int tasks);
   void drop_slot(Machine& m, std::size_t i);
   void end_session(Machine& m);
   void touch_image(Machine& m, Ix image);
@@ -167,7 +169,9 @@
   std::vector<Slot> ended_;  // by the report being taken in
   std::vector<wire::Resources> team_use_;
   std::vector<Doubt> doubts_;
-  int in_doubt_ = 0, unsized_ = 0, unknown_ = 0;
+  int in_doubt_ = 0, unsized_ = 0;
+  std::unordered_map<std::string, int>
+      unplaced_;  // tasks on machines that belong to no job here, by their job
   wire::Resources doubt_sum_;
   bool active_ = false;
   static constexpr double kSpotPrior = 3600;  // as if one had been taken in an hour, until more is known
--- a/src/daemon/admission.cpp
+++ b/src/daemon/admission.cpp
@@ -51,7 +51,7 @@
   if (catalog_.empty()) {
     if (from.by_peer) return try_later(from);
     return hand_on(from, served_peer(), "POST", wire::kJobsPath, bytes, 3.0,
-                   [this, from] { try_later(from); });
+                   [this, from](int) { try_later(from); });
   }
   if (auto why = impossible(*spec)) {
     // The verdict rests on the catalog of today; a job that was accepted under another one stays accepted.
@@ -66,12 +66,12 @@
 // A job that was accepted stays accepted, whatever its submission would be told today.
 void Node::refuse_unless_accepted(const From& from, const std::string& ref, const std::string& why) {
   fresh(ref, store::Urgency::user, false,
-        [this, from, ref, why](int st, std::optional<wire::Phase> phase, const wire::Value&) {
+        [this, from, ref, why](int st, std::optional<wire::Phase>, const wire::Value&) {
           if (st == 404) {
             ++stats_.refused;
             return respond(from, 422, {{"error", why}});
           }
-          if (st == 200) return respond(from, 200, wire::job_state(ref, *phase));
+          if (st == 200) return answer_fresh(from, ref, true, !entitled());
           try_later(from);
         });
 }
@@ -125,7 +125,7 @@
                  const auto peer = n->from.by_peer ? std::nullopt : served_peer(peer::kChains);
                  return hand_on(
                      n->from, peer, "POST", wire::kJobsPath, n->bytes, kCreateTimeout,
-                     [this, n, status = r.status] { try_later(n->from, status == 429 ? 429 : 503); });
+                     [this, n, status = r.status](int) { try_later(n->from, status == 429 ? 429 : 503); });
                }
                const auto exist = r.status == 409 ? wire::failed_keys(r.body) : std::vector<std::string>{};
                const auto has = [&exist](const std::string& key) {
@@ -171,7 +171,7 @@
 
 void Node::create(const From& from, const wire::JobSpec& spec) {
   // It was admitted on a sheet, and this is a retry.
-  if (index_.find(spec.ref) || index_.lately(spec.ref)) return answer_fresh(from, spec.ref, true);
+  if (index_.find(spec.ref) || index_.lately(spec.ref)) return answer_accepted(from, spec);
   auto c = std::make_shared<Creation>(Creation{from, spec, wire::job_record(spec, out_.time_of_day())});
   // A node that the state service does not answer asks a peer at once instead of finding out again at its
   // user's cost.
@@ -184,10 +184,12 @@
 void Node::create_here(const std::shared_ptr<Creation>& c) {
   using Outcome = admission::Intake::Outcome;
   c->own_open = true;
-  intake_.offer(c->spec, c->value, [this, c](const admission::Intake::Result& r) {
+  intake_.offer(c->spec, c->value, [this, c, term = term_](const admission::Intake::Result& r) {
     c->own_open = false;
-    // The watch will tell too; this saves the leader's own submissions the way there and back.
-    if (r.outcome == Outcome::created && entitled()) job_seen(c->value, r.revision, r.sheet);
+    // The watch will tell too; this saves the leader's own submissions the way there and back. What an
+    // earlier leadership of this node sent may have been created, and ended by another, before this one
+    // began.
+    if (r.outcome == Outcome::created && entitled() && term == term_) job_seen(c->value, r.revision, r.sheet);
     if (c->answered) return;
     if (r.outcome == Outcome::created) {
       c->answered = true;
@@ -196,7 +198,7 @@
     }
     if (r.outcome == Outcome::exists) {
       c->answered = true;
-      return answer_fresh(c->from, c->spec.ref, true);
+      return answer_accepted(c->from, c->spec);
     }
     if (r.outcome == Outcome::later) {
       c->refusal = 429;
@@ -268,9 +270,12 @@
   return true;
 }
 
+// Whether a job that it needs is cancelled, or nothing rules that out yet. So is it then; but its own end is
+// told only once it is recorded, and that it is queued must not be told any more.
+bool Node::may_be_orphan(const jobs::Job& job) const { return job.orphan || chains_.undecided(job); }
+
 void Node::answer_live(const From& from, jobs::Job& job, bool brief) {
-  // A job that it needs is cancelled, and so is it; but its own end is told only once it is recorded.
-  if (job.orphan) return try_later(from);
+  if (may_be_orphan(job)) return try_later(from);
   // Its end may be recorded though this node has not heard so yet, and another may have read and told it:
   // what is live here is an older answer then (a slow state service on cub-meterlink-fleet: cancelled, then
   // queued).
@@ -289,7 +294,7 @@
   txn.require(jobs::kLive + ref, 0).require(jobs::kFinal + ref, 0);
   store_.txn(
       std::move(txn), urgency, ports::kNever,
-      [this, ref, urgency, need_spec, then, asked = out_.now()](const store::Reply& r) {
+      [this, ref, urgency, need_spec, then, asked = out_.now(), term = term_](const store::Reply& r) {
         if (r.status == 200 && sheets_matter()) return fresh_on_sheets(ref, urgency, need_spec, asked, then);
         if (r.status == 200) return then(404, {}, nullptr);
         if (r.status != 409) return then(r.status == 429 ? 429 : 503, {}, nullptr);
@@ -298,12 +303,11 @@
         const bool over = std::find(failed.begin(), failed.end(), jobs::kFinal + ref) != failed.end();
         if (!over && !failed.empty() && !need_spec) return then(200, wire::Phase::queued, nullptr);
         if (!over && !failed.empty()) {
-          return store_.get(jobs::kLive + ref, urgency, [then](const store::Reply& l) {
+          return store_.get(jobs::kLive + ref, urgency, [then, term](const store::Reply& l) {
             const auto item = l.status == 200 ? wire::parse_item(l.body) : wire::Result<wire::Item>::fail("");
             // Not there any more: it has become final since. Asking again will tell.
             if (!item) return then(503, {}, nullptr);
-            then(200, wire::Phase::queued,
-                 wire::Value{{"spec", item->value}, {"version", item->version}, {"key", item->key}});
+            then(200, wire::Phase::queued, live_record(item->value, *item, term));
           });
         }
         store_.get(jobs::kFinal + ref, urgency, [this, ref, then](const store::Reply& f) {
@@ -316,13 +320,23 @@
       });
 }
 
-void Node::answer_fresh(const From& from, const std::string& ref, bool brief) {
+// A submission of a job that was accepted before. Of one that needs others only the leader knows whether it
+// lives.
+void Node::answer_accepted(const From& from, const wire::JobSpec& spec) {
+  if (entitled() || from.by_peer || spec.waits_on.empty()) return answer_fresh(from, spec.ref, true);
+  hand_on(from, leader_peer(), "GET", std::string(wire::kJobsPath) + "/" + spec.ref, "", 0.7,
+          [this, from, ref = spec.ref](int status) { answer_fresh(from, ref, true, status == 503); });
+}
+
+void Node::answer_fresh(const From& from, const std::string& ref, bool brief, bool cautious) {
   // Questions come again in a few seconds anyway; submissions and cancellations go before them. The leader
   // takes a job that it does not know in.
   const auto urgency = brief ? store::Urgency::user : store::Urgency::background;
   // A job that needs a cancelled one is over by its leader's next write. Where no leader has been able to
   // write for long, that may be overdue, and only the leader knows (seed 100005: an outage of 43 s).
-  const bool overdue = !entitled() && out_.now() - leader_able_ > settings_.cancel_s / 2;
+  // Nor if the leader has just put the question off (seed 1001007: its answers from the state service were
+  // lost, so it could not record the end).
+  const bool overdue = !entitled() && (cautious || out_.now() - leader_able_ > settings_.cancel_s / 2);
   fresh(ref, urgency, entitled() || overdue,
         [this, from, ref, brief, overdue](int st, std::optional<wire::Phase> phase, const wire::Value& live) {
           if (st != 200) {
@@ -334,6 +348,8 @@
           if (answer_final(from, ref, brief)) return;
           if (overdue && !live.is_null() && wire::needs_others(live["spec"])) return try_later(from);
           if (entitled() && !live.is_null()) found_live(live);
+          const jobs::Job* known = entitled() ? registry_.find(ref) : nullptr;
+          if (known && may_be_orphan(*known)) return try_later(from);
           respond(from, 200, brief ? wire::job_state(ref, *phase) : wire::job_progress(ref, *phase, 0, 0));
         });
 }
@@ -348,7 +364,7 @@
     if (store_.healthy()) return answer_fresh(from, ref, false);
     return try_later(from);
   }
-  auto otherwise = [this, from, ref] { answer_fresh(from, ref, false); };
+  auto otherwise = [this, from, ref](int status) { answer_fresh(from, ref, false, status == 503); };
   hand_on(from, leader_peer(), "GET", std::string(wire::kJobsPath) + "/" + ref, "", 0.7, otherwise);
 }
 
@@ -360,7 +376,7 @@
   if (!entitled()) {
     if (from.by_peer) return try_later(from);
     return hand_on(from, leader_peer(), "POST", path, "", 3.0,
-                   [this, from, ref] { leave_intent(from, ref); });
+                   [this, from, ref](int) { leave_intent(from, ref); });
   }
   auto close = [this, from](jobs::Job& job) {
     cancel(job);
@@ -401,7 +417,9 @@
   const std::size_t prefix = std::string_view(jobs::kLive).size(),
                     mark = std::string_view(jobs::kAbortMark).size();
   jobs::Job* job = registry_.find(key.substr(prefix, key.size() - prefix - mark));
-  if (!job || !job->open()) return;
+  // A mark is written on condition that the job's record is there, so its creation was seen before. The job
+  // is over, or its end is under way and did not take the mark with it.
+  if (!job || !job->open()) return ledger_.sweep(key);
   job->intent = true;
   cancel(*job);
 }
@@ -416,15 +434,16 @@
   agents_.cancel(job);
 }
 
-// Whether no machine can have a task of the job. In custody a worker out of reach may be kept alive for
-// longer than cancel_s, so nobody is told of a cancellation before this; without custody its lease is over by
-// then.
+// Whether no machine has a task of the job, nor can get one any more: the one proof behind every cancellation
+// that is told. A worker out of reach may be kept alive in custody for longer than cancel_s, and a start on
+// its way may still arrive, so nothing of it rests on time. Asked alike with and without custody: there a
+// silent machine's lease is over before cancel_s, but a start could follow the answer to the user.
 bool Node::gone_for_sure(const jobs::Job& job) const {
-  if (job.away) return false;  // the cell that holds it has to say so
-  if (settings_.tunables.custody_leases <= 0) return true;
-  if (job.placed > 0) return false;
-  return job.created > election_.token() ||
-         (scheduler_.gates().accounted().open(job) && agents_.unknown() == 0);
+  if (job.away) return false;        // the cell that holds it has to say so
+  if (job.placed > 0) return false;  // ordered, in doubt, or running
+  if (agents_.holds_unplaced(job.spec.ref)) return false;
+  // Only leaders before this one could have started it elsewhere, and only if it is older.
+  return scheduler_.gates().accounted().open(job);
 }
 
 // Cancellations whose tasks are gone are recorded, and told then. While a task's machine does not answer, the
--- a/src/daemon/leading.cpp
+++ b/src/daemon/leading.cpp
@@ -155,31 +155,55 @@
   });
 }
 
+// Too many changes were missed, so all records are read again, page by page as of the first one's revision;
+// the watch goes on from there.
+struct Node::Rereading {
+  std::uint64_t term = 0, revision = 0;
+  std::vector<wire::Item> items;
+};
+
 void Node::read_again(std::uint64_t term) {
-  if (term != term_) return;
-  store_.range(jobs::kLive, "", [this, term](const store::Reply& r) {
-    if (term != term_) return;
+  if (term == term_) read_more(std::make_shared<Rereading>(Rereading{term, 0, {}}));
+}
+
+void Node::read_more(const std::shared_ptr<Rereading>& all) {
+  const std::string after = all->items.empty() ? "" : all->items.back().key;
+  store_.range(jobs::kLive, after, [this, all](const store::Reply& r) {
+    if (all->term != term_) return;
     auto range = r.status == 200 ? wire::parse_range(r.body) : wire::Result<wire::Range>::fail("");
-    if (!range) return follow_jobs(0, term);
-    // On sheets that are new here there may be jobs that were over long ago.
-    std::vector<std::string> unknown;
-    for (const wire::Item& i : range->items) {
-      if (!jobs::is_sheet(i.key) || ledger_.sheets().known(i.key)) continue;
-      jobs::each_record(i.value, [&](const std::string& ref, const wire::Value&) {
-        if (!registry_.find(ref)) unknown.push_back(ref);
-      });
-    }
-    ask_over(std::move(unknown), [this, term, range = std::move(*range)](const std::set<std::string>& over) {
-      if (term != term_) return;
-      for (const wire::Item& i : range.items) {
-        if (!jobs::is_sheet(i.key)) {
-          live_key_seen(i.key, i.value, i.version);
-        } else if (!ledger_.sheets().known(i.key)) {
-          sheet_seen(i.key, i.value, i.version, over);
-        }
-      }
-      follow_jobs(range.revision, term);
+    if (!range) return out_.after(0.3, [this, all] { read_again(all->term); });
+    if (all->items.empty()) all->revision = range->revision;
+    all->items.insert(all->items.end(), range->items.begin(), range->items.end());
+    // A deployment may have more live keys than one answer holds; those behind it would stay unknown.
+    if (range->more && !range->items.empty()) return read_more(all);
+    take_again(all);
+  });
+}
+
+void Node::take_again(const std::shared_ptr<Rereading>& all) {
+  // On sheets that are new here there may be jobs that were over long ago.
+  std::vector<std::string> unknown;
+  for (const wire::Item& i : all->items) {
+    if (!jobs::is_sheet(i.key) || ledger_.sheets().known(i.key)) continue;
+    jobs::each_record(i.value, [&](const std::string& ref, const wire::Value&) {
+      if (!registry_.find(ref)) unknown.push_back(ref);
     });
+  }
+  ask_over(std::move(unknown), [this, all](const std::set<std::string>& over) {
+    if (all->term != term_) return;
+    const auto is_mark = [](const wire::Item& i) { return i.key.ends_with(jobs::kAbortMark); };
+    for (const wire::Item& i : all->items) {
+      if (is_mark(i)) continue;  // its job may be on a sheet, and those come later
+      if (!jobs::is_sheet(i.key)) {
+        live_key_seen(i.key, i.value, i.version);
+      } else if (!ledger_.sheets().known(i.key)) {
+        sheet_seen(i.key, i.value, i.version, over);
+      }
+    }
+    for (const wire::Item& i : all->items) {
+      if (is_mark(i)) intent_seen(i.key);
+    }
+    follow_jobs(all->revision, all->term);
   });
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -414,7 +414,7 @@
   return std::nullopt;
 }
 
-// `then` hears the peer's verdict; status 0: it has none.
+// `then` hears the peer's verdict; status 0: it gave none. 503 and 429: it put the question off.
 void Node::ask_peer(std::size_t peer, std::string method, std::string path, std::string body, Seconds timeout,
                     std::function<void(int, const wire::Value&)> then) {
   ++stats_.forwarded;
@@ -438,7 +438,7 @@
     }
     heard(peer, *r.frame);
     const int st = r.frame->status;
-    if (st == 503 || st == 429) return then(0, nullptr);
+    if (st == 503 || st == 429) return then(st, nullptr);
     auto decoded =
         r.frame->body.empty() ? std::optional<wire::Value>(nullptr) : wire::decode_cbor(r.frame->body);
     if (!decoded) return then(0, nullptr);
@@ -459,11 +459,11 @@
 }
 
 void Node::hand_on(const From& from, std::optional<std::size_t> peer, std::string method, std::string path,
-                   std::string body, Seconds timeout, const std::function<void()>& otherwise) {
-  if (!peer) return otherwise();
+                   std::string body, Seconds timeout, const std::function<void(int)>& otherwise) {
+  if (!peer) return otherwise(0);
   ask_peer(*peer, std::move(method), std::move(path), std::move(body), timeout,
            [this, from, otherwise](int status, const wire::Value& answer) {
-             if (status == 0) return otherwise();
+             if (status == 0 || status == 503 || status == 429) return otherwise(status);
              respond(from, status, answer);
            });
 }
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -126,6 +126,8 @@
   void check_needs(const From& from, const wire::JobSpec& spec, const std::string& bytes);
   void check_some_needs(const std::shared_ptr<Needs>& n);
   void needs_absent(const std::shared_ptr<Needs>& n, std::vector<std::string> refs);
+  // What is known of a live job by a read, and by which leadership of this node it was asked for.
+  static wire::Value live_record(const wire::Value& spec, const wire::Item& item, std::uint64_t term);
   void found_live(const wire::Value& live);
   void refuse_unless_accepted(const From& from, const std::string& ref, const std::string& why);
   bool old_leader() const;
@@ -178,15 +180,21 @@
   void sheet_seen(const std::string& key, const wire::Value& value, std::uint64_t version,
                   const std::set<std::string>& over = {});
   void read_again(std::uint64_t term);
+  struct Rereading;
+  void read_more(const std::shared_ptr<Rereading>& all);
+  void take_again(const std::shared_ptr<Rereading>& all);
   void tell_admission();
   using OnFresh = std::function<void(int status, std::optional<wire::Phase>, wire::Value)>;
   void fresh(const std::string& ref, store::Urgency urgency, bool need_spec, const OnFresh& then);
   void fresh_on_sheets(const std::string& ref, store::Urgency urgency, bool need_spec, Seconds asked,
                        const OnFresh& then);
-  void answer_fresh(const From& from, const std::string& ref, bool brief);
-  // Hands the request on; `otherwise` runs if nobody answered it.
+  // `cautious`: the leader was asked and put the question off, so a job that needs others may be an orphan.
+  void answer_fresh(const From& from, const std::string& ref, bool brief, bool cautious = false);
+  void answer_accepted(const From& from, const wire::JobSpec& spec);
+  bool may_be_orphan(const jobs::Job& job) const;
+  // Hands the request on; `otherwise` hears 503 or 429 if the peer put it off, 0 if it gave no answer.
   void hand_on(const From& from, std::optional<std::size_t> peer, std::string method, std::string path,
-               std::string body, Seconds timeout, const std::function<void()>& otherwise);
+               std::string body, Seconds timeout, const std::function<void(int status)>& otherwise);
   void ask_peer(std::size_t peer, std::string method, std::string path, std::string body, Seconds timeout,
                 std::function<void(int, const wire::Value&)> then);
   std::optional<std::size_t> leader_peer() const;
--- a/src/daemon/sheets.cpp
+++ b/src/daemon/sheets.cpp
@@ -146,7 +146,7 @@
 // The job has no key and no final state, as of a moment ago. It is unknown unless it is on a sheet.
 void Node::fresh_on_sheets(const std::string& ref, store::Urgency urgency, bool need_spec, Seconds asked,
                            const OnFresh& then) {
-  catch_up([this, ref, urgency, need_spec, asked, then](bool good) {
+  catch_up([this, ref, urgency, need_spec, asked, then, term = term_](bool good) {
     // An index read anew since has forgotten which sheets went lately.
     if (!good || index_since_ >= asked) return then(503, {}, nullptr);
     const auto key = index_.find(ref);
@@ -161,7 +161,7 @@
         r.status == 200 ? then(200, wire::Phase::queued, nullptr) : then(503, {}, nullptr);
       });
     }
-    store_.get(*key, urgency, [ref, then](const store::Reply& r) {
+    store_.get(*key, urgency, [ref, then, term](const store::Reply& r) {
       const auto item = r.status == 200 ? wire::parse_item(r.body) : wire::Result<wire::Item>::fail("");
       wire::Value found;
       if (item)
@@ -169,12 +169,19 @@
           if (name == ref) found = record;
         });
       if (found.is_null()) return then(503, {}, nullptr);
-      then(200, wire::Phase::queued, {{"spec", found}, {"version", item->version}, {"key", item->key}});
+      then(200, wire::Phase::queued, live_record(found, *item, term));
     });
   });
 }
 
+wire::Value Node::live_record(const wire::Value& spec, const wire::Item& item, std::uint64_t term) {
+  return {{"spec", spec}, {"version", item.version}, {"key", item.key}, {"term", term}};
+}
+
+// The leader learns of a job by a read of its own. One that an earlier leadership of this node asked for
+// tells nothing: the job may have been ended, and its end told, by a leader in between.
 void Node::found_live(const wire::Value& live) {
+  if (live["term"].get<std::uint64_t>() != term_) return;
   const auto key = live["key"].get<std::string>();
   job_seen(live["spec"], live["version"].get<std::uint64_t>(), jobs::is_sheet(key) ? key : "");
 }
--- a/src/jobs/chains.cpp
+++ b/src/jobs/chains.cpp
@@ -113,6 +113,22 @@
   return it != by_ref_.end() && nodes_[it->second].job == kNone;
 }
 
+bool Chains::undecided(const Job& job) const {
+  if (job.spec.waits_on.empty()) return false;
+  const auto it = by_ref_.find(job.spec.ref);
+  if (it == by_ref_.end()) return false;
+  std::vector<N> open{it->second};
+  std::set<N> seen;
+  while (!open.empty()) {
+    const N n = open.back();
+    open.pop_back();
+    if (!seen.insert(n).second) continue;
+    if (nodes_[n].job == kNone) return true;
+    open.insert(open.end(), nodes_[n].needs.begin(), nodes_[n].needs.end());
+  }
+  return false;
+}
+
 void Chains::spread_urgency() {
   while (!changed_.empty()) {
     const N n = changed_.begin()->second;
--- a/src/jobs/chains.hpp
+++ b/src/jobs/chains.hpp
@@ -31,6 +31,9 @@
   void join(Job& job);                          // it is new to the registry
   void ended(const std::string& ref, End end);  // committed; again does no harm
   bool asks_for(const std::string& ref) const;  // somebody needs it and it is not known here
+  // Whether the job may be an orphan for all that is known: something that it needs, directly or through
+  // others, is still to be asked about.
+  bool undecided(const Job& job) const;
   // Highest priority and earliest finish travel from each job to those that it needs.
   void spread_urgency();
 
