--- a/src/emulator/cloud.cpp
+++ b/src/emulator/cloud.cpp
@@ -28,6 +28,7 @@
   h->sick = boot > 0 && odds(0.05);
   Host& out = *h;
   hosts_[h->name] = std::move(h);
+  if (t_ < quick_boots_until_ && boot > 0) boot = between(0.2, 1.5), out.never = false;
   if (!out.never) later(boot + between(0, 0.5), [this, n = out.name] { worker_up(*hosts_.at(n)); });
   return out;
 }
--- a/src/emulator/controllers.cpp
+++ b/src/emulator/controllers.cpp
@@ -8,7 +8,10 @@
 
 namespace wingtrail::world {
 
-void World::freeze(std::size_t i, double for_s) { ctls_[i]->paused_until = t_ + for_s; }
+void World::freeze(std::size_t i, double for_s) {
+  troubled(for_s);
+  ctls_[i]->paused_until = t_ + for_s;
+}
 
 void World::boot(std::size_t i) {
   if (outside_.boot) return outside_.boot(i);
@@ -35,6 +38,7 @@
   if (outside_.crash) outside_.crash(i);
   if (!c.node && !outside_.crash) return;
   spdlog::debug("{:.3f} {} ends", t_, node_name(i));
+  troubled(plan_.back_to);
   c.node.reset();
   ++c.life;
   c.open.clear();
@@ -58,6 +62,7 @@
   if (c.node->entitled() != c.led) {
     c.led = c.node->entitled();
     verdict_.elections += c.led;
+    if (c.led && !kept_reports_.empty()) release_reports(i);
   }
   // Two nodes that may both give orders would break everything else.
   std::size_t entitled = 0;
@@ -162,12 +167,16 @@
       finish(r);
     });
   };
-  const bool sent = send(me, to, [this, i, peer, host, call, back, me, to, finish] {
+  const bool sent = send(me, to, [this, i, peer, host, call, back, me, to, finish, life = c.life] {
     switch (call.target) {
       case ports::Target::cell:
         return;
       case ports::Target::state:
-        return state(i, call.method, call.path, call.body, back);
+        // Of a process that has ended since, and may have known of other limits.
+        carried_out_late_ = life != ctls_[i]->life;
+        state(i, call.method, call.path, call.body, back);
+        carried_out_late_ = false;
+        return;
       case ports::Target::cloud:
         return cloud(call.method, call.path, call.body, back);
       case ports::Target::peer: {
@@ -187,6 +196,7 @@
       }
       case ports::Target::worker: {
         if (!host || host->gone || host->dead || !host->up) return;
+        if (t_ < host->deaf_until) return void(++verdict_.unheard);
         const std::string name = host->name;
         auto arrive = [this, name, call, back] {
           Host& h = *hosts_.at(name);
--- a/src/emulator/network.cpp
+++ b/src/emulator/network.cpp
@@ -9,7 +9,10 @@
 
 World::Link& World::link(const std::string& a, const std::string& b) { return links_[std::minmax(a, b)]; }
 
-double World::latency() { return odds(0.01) ? between(0.05, 0.6) : between(0.0003, 0.003); }
+double World::latency() {
+  if (t_ < slow_links_until_) return between(0.05, 0.5);
+  return odds(0.01) ? between(0.05, 0.6) : between(0.0003, 0.003);
+}
 
 bool World::send(const std::string& a, const std::string& b, std::function<void()> fn) {
   Link l = link(a, b);
@@ -40,6 +43,7 @@
 
 void World::cut_zone(std::size_t zone, double for_s, bool hold) {
   spdlog::debug("{:.3f} {} is cut off for {:.1f} s", t_, settings_.zones[zone], for_s);
+  troubled(for_s);
   ZoneCut& cut = zone_cuts_[zone];
   if (t_ >= cut.until) cut.from = t_;
   cut.until = std::max(cut.until, t_ + for_s);
@@ -47,6 +51,7 @@
 }
 
 void World::cut(const std::string& a, const std::string& b, double for_s, bool hold) {
+  troubled(for_s);
   Link& l = link(a, b);
   l.cut_until = std::max(l.cut_until, t_ + for_s);
   l.hold = hold;
--- a/src/emulator/parts.hpp
+++ b/src/emulator/parts.hpp
@@ -10,6 +10,7 @@
 inline constexpr double kSeenWithin =
     20;  // of a zone's end of contact, with as few machines as some tests have
 inline constexpr double kReport = 3, kLease = 20, kCancel = 30, kGangWait = 25, kGangPeer = 8;
+inline constexpr double kUnanswered = 75;  // after which a job counts as forgotten, troubles being over
 inline std::string node_name(std::size_t i) { return "node-" + std::to_string(i); }
 
 struct World::TaskOn {
@@ -26,7 +27,7 @@
   std::string name, addr;
   std::size_t type = 0, zone = 0;
   bool spot = false, up = false, gone = false, dead = false, never = false, sick = false;
-  double hired = 0, hung_until = -1, slow = 1, rate = 1;
+  double hired = 0, hung_until = -1, deaf_until = -1, mute_until = -1, slow = 1, rate = 1;
   std::uint64_t session = 1, seq = 0, token = 0;
   double lease_from = 0;
   std::size_t node = 0;
@@ -49,7 +50,8 @@
   std::set<std::uint32_t> done, begun;
   std::vector<UserJob*> needs, needed_by;
   double came = 0, accepted_at = -1, over_at = -1;
-  double doomed_at = -1;  // since when a job that it needs, or itself, is known to be cancelled
+  double answered_at = -1;  // its user's last question that was
+  double doomed_at = -1;    // since when a job that it needs, or itself, is known to be cancelled
   bool over() const { return done.size() >= spec.tasks; }
 };
 
--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -89,6 +89,8 @@
     }
   }
   if (job.doomed_at >= 0 && t_ > job.doomed_at + kCancel) broke("ran_cancelled", task.name + " started");
+  // From the answer on nothing of it may start, however soon.
+  if (job.told_cancelled >= 0) broke("started_cancelled", task.name + " on " + h.name);
   for (const UserJob* need : job.needs) {
     if (!need->over()) broke("too_early", task.name + " before " + need->spec.ref);
   }
@@ -141,4 +143,21 @@
                      [this](const UserJob* n) { return !n->over() && (n->want_abort || hopeless(*n)); });
 }
 
+void World::troubled(double for_s) { troubled_until_ = std::max(troubled_until_, t_ + for_s); }
+
+double World::calm_at() const {
+  return std::max(troubled_until_, plan_.fault_every_s > 0 ? plan_.duration_s : 0.0);
+}
+
+void World::answered(UserJob& job) { job.answered_at = t_; }
+
+// Troubles being over, an accepted job about which nobody gets an answer counts as forgotten.
+void World::check_answered(UserJob& job) {
+  if (!job.accepted || job.told_done || job.told_cancelled >= 0) return;
+  const double spell = t_ - std::max({job.answered_at, job.accepted_at, calm_at()});
+  verdict_.longest_unanswered = std::max(verdict_.longest_unanswered, spell);
+  if (spell > kUnanswered)
+    broke("unanswered", job.spec.ref + ": no answer for " + std::to_string(spell) + " s, all being calm");
+}
+
 }  // namespace wingtrail::world
--- a/src/emulator/state_service.cpp
+++ b/src/emulator/state_service.cpp
@@ -7,7 +7,25 @@
 
 namespace wingtrail::world {
 
+void World::state_refuses(std::size_t node, double for_s) {
+  troubled(for_s);
+  state_refuses_[node] = t_ + for_s;
+}
+
+void World::late_writes(double share, double for_s, bool at_once) {
+  troubled(for_s);
+  late_write_share_ = share;
+  late_writes_until_ = t_ + for_s;
+  late_at_once_ = at_once;
+}
+
+std::size_t World::keys(const std::string& prefix) const {
+  return static_cast<std::size_t>(std::count_if(
+      store_.begin(), store_.end(), [&prefix](const auto& e) { return e.first.starts_with(prefix); }));
+}
+
 void World::state_outage(double for_s) {
+  troubled(for_s);
   state_down_until_ = std::max(state_down_until_, t_ + for_s);
   at(state_down_until_, [this] {
     if (t_ < state_down_until_) return;
@@ -16,7 +34,10 @@
   });
 }
 
-void World::state_slow(double for_s) { state_slow_until_ = t_ + for_s; }
+void World::state_slow(double for_s) {
+  troubled(for_s);
+  state_slow_until_ = t_ + for_s;
+}
 
 void World::bump(const std::string& key, Value value, bool erased) {
   changes_.push_back({revision_, key, std::move(value), erased});
@@ -76,6 +97,20 @@
   w->reply(200, {{"ledgerRev", revision_}, {"events", Value::array()}});
 }
 
+void World::carry_out_late(std::size_t node, const Value& body) {
+  carried_out_late_ = true;
+  state(node, "POST", "/txn", body, [](int, const Value&) {});
+  carried_out_late_ = false;
+}
+
+bool World::over_limits(const Value& body, const settings::Settings& s, double share) const {
+  const auto ops = static_cast<std::size_t>(share < 1 ? std::max(3.0, s.txn_ops * share) : s.txn_ops);
+  return body["apply"].size() > ops || body["if"].size() > 4 * ops || body.dump().size() > 65536 ||
+         std::any_of(body["apply"].begin(), body["apply"].end(), [&](const Value& op) {
+           return op.contains("data") && op["data"].dump().size() > s.value_kb * 1024 * share;
+         });
+}
+
 void World::state(std::size_t node, const std::string& method, const std::string& path, const Value& body,
                   Reply reply) {
   expire_leases();
@@ -139,24 +174,26 @@
     if (it == store_.end()) return reply(404, {{"ledgerRev", revision_}});
     return reply(200, {{"path", it->first}, {"data", it->second.value}, {"stamp", it->second.version}});
   }
+  // A node that knows of lower limits to come keeps to them from its first second; what it sent before may be
+  // carried out late.
+  if (path == "/txn" && !carried_out_late_ && over_limits(body, ctls_[node]->former ? former_ : settings_, 1))
+    broke("protocol", "a transaction over the limits: " + body.dump().substr(0, 300));
   if (path == "/txn" && plan_.late_writes > 0 && odds(plan_.late_writes)) {
-    later(between(2, 12),
-          [this, node, method, path, body] { state(node, method, path, body, [](int, const Value&) {}); });
+    later(between(2, 12), [this, node, body] { carry_out_late(node, body); });
     return;
   }
+  if (path == "/txn" && !carried_out_late_ && t_ < late_writes_until_ && odds(late_write_share_)) {
+    const bool at_once = late_at_once_;
+    (at_once ? verdict_.lost_answers : verdict_.late_writes) += body["apply"].empty() ? 0 : 1;
+    if (!at_once) {
+      troubled(12);
+      later(between(2, 12), [this, node, body] { carry_out_late(node, body); });
+      return;
+    }
+    reply = [](int, const Value&) {};
+  }
   if (path == "/txn") {
-    // A node that knows of lower limits to come keeps to them from its first second.
-    const settings::Settings& declared = ctls_[node]->former ? former_ : settings_;
-    const auto most = static_cast<std::size_t>(std::max(3.0, granted.txn_ops * plan_.undeclared));
-    const auto beyond = [&](const settings::Settings& s, std::size_t ops, double share) {
-      bool over = body["apply"].size() > ops || body["if"].size() > 4 * ops || body.dump().size() > 65536;
-      for (const Value& op : body["apply"])
-        over |= op.contains("data") && op["data"].dump().size() > s.value_kb * 1024 * share;
-      return over;
-    };
-    if (beyond(declared, static_cast<std::size_t>(declared.txn_ops), 1))
-      broke("protocol", "a transaction over the limits: " + body.dump().substr(0, 300));
-    if (beyond(granted, most, plan_.undeclared)) {
+    if (over_limits(body, granted, plan_.undeclared)) {
       ++verdict_.over_limits;
       return reply(400, {{"error", "limits"}});
     }
--- a/src/emulator/troubles.cpp
+++ b/src/emulator/troubles.cpp
@@ -41,9 +41,48 @@
   }
 }
 
+// One of the troubles that are asked for by name elsewhere (meetings.cpp), often beside another.
+void World::meeting() {
+  const double span = between(5, 40);
+  const auto kind = pick(12);
+  const std::size_t i = pick(plan_.nodes), on = leader().value_or(i);
+  spdlog::debug("{:.3f} meeting {} for {:.1f} s", t_, kind, span);
+  switch (kind) {
+    case 0:
+    case 1:
+      return late_writes(between(0.1, 0.6), span, kind == 0);
+    case 2:
+    case 3:
+      return late_reports(between(0.1, 0.5), span, kind == 3);
+    case 4:
+      return void(ail(odds(0.5) ? Ail::deaf : Ail::mute, 1 + pick(4), span));
+    case 5:  // the leader alone, then everybody
+      state_refuses(on, between(3, 15));
+      if (odds(0.5)) later(between(0, 8), [this, span] { state_outage(1.5 * span); });
+      return;
+    case 6:
+      return cut_node(on, true, true, span, odds(0.5));
+    case 7:
+      cancel_now(1 + pick(6), odds(0.5) ? between(2, 35) : 0);
+      if (odds(0.5)) later(between(0, 3), [this] { crash(leader().value_or(0)); });
+      return;
+    case 8:
+      return cancel_at_end(0.5, span);
+    case 9:
+      odd_requests(span);
+      return close_looks(span);
+    case 10:
+      quick_boots(span);
+      return late_writes(between(0.1, 0.5), span, odds(0.5));
+    default:
+      return slow_links(std::min(span, 15.0));
+  }
+}
+
 void World::trouble() {
   if (t_ > plan_.duration_s) return;
   later(between(0, 2 * plan_.fault_every_s), [this] { trouble(); });
+  troubled(40);  // what is not said more exactly below
   std::vector<Host*> live;
   for (auto& [n, h] : hosts_) {
     if (!h->gone && !h->dead && h->up) live.push_back(h.get());
@@ -51,6 +90,7 @@
   const std::size_t i = pick(plan_.nodes);
   const bool hold = odds(0.5);
   const double span = between(1, 25);
+  if (plan_.meetings && odds(0.5)) return meeting();
   const auto kind = pick(plan_.cuts ? 18 : 13);
   spdlog::debug("{:.3f} trouble {} for {:.1f} s, node {}", t_, kind, span, i);
   switch (kind) {
@@ -64,8 +104,7 @@
     case 2:
       return state_outage(span);
     case 3:
-      state_refuses_[i] = t_ + span;
-      return;
+      return state_refuses(i, span);
     case 4:
       return cut(node_name(i), "state", span, hold);
     case 5:
--- a/src/emulator/users.cpp
+++ b/src/emulator/users.cpp
@@ -137,8 +137,9 @@
   }
 }
 
-void World::submit(UserJob& job, double since) {
-  const std::size_t i = pick(plan_.nodes);
+void World::submit(UserJob& job, double since) { submit_at(job, since, pick(plan_.nodes)); }
+
+void World::submit_at(UserJob& job, double since, std::size_t i) {
   daemon::Incoming in;
   in.method = "POST";
   in.path = wire::kJobsPath;
@@ -164,6 +165,7 @@
             if (need->doomed_at >= 0) doom(job, t_);
           }
           later(between(0.5, 5), [this, &job] { poll(job); });
+          if (t_ < looks_until_) look_closely(job);
         }
         const bool over = job.told_done || job.told_cancelled >= 0;
         // An answer that a poll's overtook on its way is no step back (seed 5 without troubles).
@@ -190,11 +192,13 @@
     if (job.done.size() < job.spec.tasks) broke("not_done", job.spec.ref);
     if (job.told_cancelled >= 0) broke("went_back", job.spec.ref + " from cancelled to done");
     if (!job.told_done) ++verdict_.finished;
-    job.told_done = true;
+    if (!std::exchange(job.told_done, true) && t_ < looks_until_) look_closely(job);
   } else if (*phase == wire::Phase::cancelled) {
     if (!may_be_cancelled(job)) broke("went_back", job.spec.ref + " is called cancelled");
     if (job.told_cancelled < 0) {
       job.told_cancelled = t_;
+      ++verdict_.told_gone;
+      if (t_ < looks_until_) look_closely(job);
       ++verdict_.cancelled;
       verdict_.orphans += !job.want_abort;
     }
@@ -207,24 +211,29 @@
 }
 
 void World::poll(UserJob& job) {
-  const std::size_t i = pick(plan_.nodes);
+  check_answered(job);
+  ask(job, pick(plan_.nodes), "poll");
+  const bool over = job.told_done || job.told_cancelled >= 0;
+  later(over ? between(10, 40) : between(2, 5), [this, &job] { poll(job); });
+}
+
+void World::ask(UserJob& job, std::size_t i, const char* how) {
   daemon::Incoming in;
   in.method = "GET";
   in.path = std::string(wire::kJobsPath) + "/" + job.spec.ref;
   // What counts is the order in which the user hears things: an answer given up on is not heard.
   const double asked = t_;
   const bool was_over = job.told_done || job.told_cancelled >= 0;
-  send("users", node_name(i), [this, i, in, &job, asked, was_over] {
-    deliver(i, in, [this, &job, asked, was_over](const ports::Answer& a) {
+  send("users", node_name(i), [this, i, in, &job, asked, was_over, how] {
+    deliver(i, in, [this, &job, asked, was_over, how](const ports::Answer& a) {
       if (t_ - asked > 2) return;
+      if (a.status == 200) answered(job);
       const bool over = job.told_done || job.told_cancelled >= 0;
       if (over && !was_over && a.status == 200)
         return;  // overtaken by another answer while it was on its way
-      heard(job, a.status, a.body, "poll");
+      heard(job, a.status, a.body, how);
     });
   });
-  const bool over = job.told_done || job.told_cancelled >= 0;
-  later(over ? between(10, 40) : between(2, 5), [this, &job] { poll(job); });
 }
 
 void World::abort(UserJob& job) {
@@ -232,7 +241,13 @@
     later(1, [this, &job] { abort(job); });
     return;
   }
-  const std::size_t i = pick(plan_.nodes);
+  abort_at(job, pick(plan_.nodes));
+  later(2, [this, &job] {
+    if (!job.aborted) abort(job);
+  });
+}
+
+void World::abort_at(UserJob& job, std::size_t i) {
   daemon::Incoming in;
   in.method = "POST";
   in.path = std::string(wire::kJobsPath) + "/" + job.spec.ref + wire::kAbortSuffix;
@@ -245,9 +260,6 @@
       heard(job, 200, a.body, "abort");
     });
   });
-  later(2, [this, &job] {
-    if (!job.aborted) abort(job);
-  });
 }
 
 }  // namespace wingtrail::world
--- a/src/emulator/workers.cpp
+++ b/src/emulator/workers.cpp
@@ -99,9 +99,25 @@
       }
       next(kReport * between(0.75, 1.25), false);
     };
+    if (t_ < hosts_.at(me)->deaf_until) return void(++verdict_.unheard);
     if (t_ < hosts_.at(me)->hung_until) return at(hosts_.at(me)->hung_until + 1e-6, handle);
     handle();
   };
+  if (t_ < h.mute_until) {
+    ++verdict_.unheard;
+    return later(0.5, [next] { next(0.5, true); });  // no connection
+  }
+  if (t_ < late_reports_until_ && odds(late_report_share_)) {
+    if (late_for_next_) {
+      kept_reports_.push_back(in);
+    } else {
+      troubled(2.5 * kLease);
+      later(odds(0.5) ? between(2, 10) : between(2, 2.5 * kLease), [this, in] {
+        ++verdict_.late_reports;
+        for (std::size_t i = 0; i < plan_.nodes; ++i) deliver(i, in, [](const ports::Answer&) {});
+      });
+    }
+  }
   send(me, to, [this, in, got, me, to, i = h.node] {
     deliver(i, in, [this, got, me, to](const ports::Answer& a) { send(to, me, [got, a] { got(a); }); });
   });
@@ -265,6 +281,14 @@
     spdlog::debug("{:.3f} {}: {} try {} exits: {}", t_, h.name, name, attempt, cause);
     if (cause == "done") x.job->done.insert(x.index);
     if (cause == "done" && x.job->over() && x.job->over_at < 0) x.job->over_at = t_;
+    if (t_ < cancel_at_end_until_ && cause == "done" && x.job->over() && x.job->accepted &&
+        !x.job->want_abort && odds(cancel_at_end_share_)) {
+      ++verdict_.at_the_end;
+      later(between(0, 0.05), [this, job = x.job] {
+        job->want_abort = true;
+        abort(*job);
+      });
+    }
     if (cause == "error") x.job->begun.erase(x.index);  // of a faulty machine; it has to start again
     x.phase = "exited";
     x.cause = cause;
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -23,6 +23,7 @@
   if (seed % 7 < 3) plan.back_from = 0.05, plan.back_to = 0.3;
   if (seed % 6 == 1) plan.zones = 3;
   plan.admission = seed / 5 % 2 == 0;
+  plan.meetings = seed >= 1'000'000;
   return plan;
 }
 
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -55,11 +55,15 @@
   // One of several cells, numbered from 0; see cells_world.hpp.
   std::size_t cell = 0, cells = 1;
   bool drain = false;  // it is to be emptied
+  // At random among the others: transactions without an answer, late reports, deaf and mute machines, jobs
+  // called off in numbers and at their ends, odd requests, close looks, machines up at once, slow links.
+  bool meetings = false;
   // A fault planted on purpose, to show that a check can fail. See docs/safety.md.
   std::string sabotage;
 };
 
-// What world_hunt and the suite play for a seed: every other one with chains, every third with an upgrade.
+// What world_hunt and the suite play for a seed: every other one with chains, every third with an upgrade,
+// those from a million on with the troubles of meetings.
 Plan plan_of(std::uint64_t seed);
 
 struct Verdict {
@@ -77,6 +81,16 @@
   std::size_t services_late = 0;  // first starts of services later than two seconds after they were submitted
   std::size_t guests_started = 0;   // tasks of jobs of other cells
   std::size_t kept_in_custody = 0;  // reports that a node answered without being entitled to give orders
+  // What the troubles of meetings came to.
+  std::size_t late_writes = 0, lost_answers = 0;   // transactions carried out late, or at once unheard
+  std::size_t late_reports = 0, kept_reports = 0;  // copies that arrived again; of these, after a new leader
+  std::size_t unheard = 0;        // answers and orders that deaf machines lost, reports that mute ones did
+  std::size_t called_off = 0;     // running jobs cancelled together
+  std::size_t at_the_end = 0;     // jobs cancelled at the end of their last task
+  std::size_t odd_answers = 0;    // to odd requests
+  std::size_t looks = 0;          // questions within milliseconds after something was told
+  std::size_t told_gone = 0;      // cancellations confirmed
+  double longest_unanswered = 0;  // a job's longest spell without an answered question, troubles being over
 };
 
 class World;
@@ -126,6 +140,36 @@
   void state_slow(double for_s);
   void cut_node(std::size_t i, bool from_state, bool from_peers, double for_s, bool hold);
   void freeze(std::size_t i, double for_s);
+  void state_refuses(std::size_t node, double for_s);  // that node alone
+  // That share of transactions gets no answer: carried out 2 to 12 s later, or at once.
+  void late_writes(double share, double for_s, bool at_once);
+  // Of that share of reports a copy arrives again at every node, up to well over a lease later; or once a new
+  // leader has begun.
+  void late_reports(double share, double for_s, bool for_next);
+  enum class Ail : std::uint8_t {
+    hung,         // does nothing, and goes on afterwards
+    deaf,         // its reports arrive; answers to them and orders are lost
+    mute,         // reaches no controller; orders arrive
+    unreachable,  // neither, but it works
+  };
+  // So many machines that are up, first those with tasks of that job; returns how many.
+  std::size_t ail(Ail what, std::size_t n, double for_s, const std::string& ref = {});
+  // Users call off so many jobs that run and have long to go, within a fifth of a second; up to eight of
+  // their machines hang for so long.
+  void cancel_now(std::size_t n, double hang_s);
+  void cancel_at_end(double share, double for_s);
+  void odd_requests(double for_s);
+  void close_looks(double for_s);
+  void quick_boots(double for_s);  // machines that are rented are up within two seconds
+  void slow_links(double for_s);
+  void cancel(const std::string& ref);                // its user wants that from now on
+  double cancelled_at(const std::string& ref) const;  // when its user was told so; negative: not yet
+  // Accepted jobs whose users want them cancelled, and have not heard how that ended.
+  std::size_t cancellations_open() const;
+  bool told_done(const std::string& ref) const;
+  bool accepted(const std::string& ref) const;
+  std::size_t on_machines(const std::string& ref) const;  // its tasks that are there, as far as leases go
+  std::size_t keys(const std::string& prefix) const;      // that the state service holds
   std::size_t nodes() const { return plan_.nodes; }
   bool cut_off(std::size_t zone) const { return t_ < zone_cuts_[zone].until; }
   // Of a service's replicas, how many are on machines that can go on with them.
@@ -216,6 +260,8 @@
   // state service
   void bump(const std::string& key, Value value, bool erased);
   void expire_leases();
+  void carry_out_late(std::size_t node, const Value& body);
+  bool over_limits(const Value& body, const settings::Settings& s, double share) const;
   void serve_watches();
   void end_watch(const std::shared_ptr<Watch>& w);
 
@@ -248,9 +294,20 @@
   void poll(UserJob& job);
   void abort(UserJob& job);
   void heard(UserJob& job, int status, const Value& body, const char* how);
+  void submit_at(UserJob& job, double since, std::size_t node);
+  void ask(UserJob& job, std::size_t node, const char* how);
+  void abort_at(UserJob& job, std::size_t node);
+  void look_closely(UserJob& job);
+  void odd_request();
+  void release_reports(std::size_t node);
+  void answered(UserJob& job);
+  void check_answered(UserJob& job);
+  void troubled(double for_s);  // a trouble that lasts for so long begins now
+  double calm_at() const;       // from when no trouble is left
 
   // troubles
   void trouble();
+  void meeting();
   void cut(const std::string& a, const std::string& b, double for_s, bool hold);
 
   // rules
@@ -303,7 +360,12 @@
   double no_capacity_until_ = -1;
 
   std::map<std::string, std::unique_ptr<UserJob>> jobs_;
-  std::size_t jobs_made_ = 0;
+  std::size_t jobs_made_ = 0, odd_made_ = 0;
+  double late_write_share_ = 0, late_writes_until_ = -1, late_report_share_ = 0, late_reports_until_ = -1;
+  bool late_at_once_ = false, late_for_next_ = false, carried_out_late_ = false;
+  std::vector<daemon::Incoming> kept_reports_;
+  double cancel_at_end_share_ = 0, cancel_at_end_until_ = -1, odd_until_ = -1, looks_until_ = -1;
+  double quick_boots_until_ = -1, slow_links_until_ = -1, troubled_until_ = 0;
   Verdict verdict_;
 };
 
--- /dev/null
+++ b/tests/meetings_test.cpp
@@ -0,0 +1,566 @@
+// Meetings of two troubles: docs/meetings.md has a row for each. A test brings its meeting about on purpose,
+// with several seeds and the second trouble's moment swept, and asserts that it did happen before it asserts
+// the rules, which the simulated cluster checks after every step. MEETINGS_WIDE=N plays N times as many
+// seeds.
+#include "rides.hpp"
+
+namespace wingtrail::world {
+namespace {
+
+// As deployed, but for the sizes.
+Plan deployed(std::uint64_t seed, int machines = 10) {
+  Plan plan = scripted(seed, machines);
+  plan.agreed = plan.admission = plan.spread = plan.lives = true;
+  plan.custody_leases = 4;
+  return plan;
+}
+
+class Day {
+ public:
+  explicit Day(const Plan& plan) : world(plan) {
+    hush();
+    world.begin();
+    world.step(5);
+    for (int n = 1; n <= 2; ++n) {
+      wire::JobSpec service = job_of(n, 4, "red");
+      service.shape = wire::Shape::service;
+      service.priority = wire::Priority::production;
+      service.spread = true;
+      service.spot = false;
+      world.user(service, 0);
+    }
+    world.step(40);  // custody begins once no node of an older version can have led for cancel_s
+  }
+
+  // Arrays with long to go, from req-10 on; every third bound to a zone.
+  void long_arrays(int count, double run_s = 60, std::uint32_t tasks = 3) {
+    for (int n = 0; n < count; ++n) {
+      wire::JobSpec s = job_of(10 + n, tasks, n % 2 == 0 ? "red" : "blue");
+      s.estimate_s = run_s;
+      if (n % 3 == 2) s.zone = "z" + std::to_string(n % 2);
+      world.user(s, run_s);
+    }
+  }
+  // Small jobs until then, one in `every_s`; that share is cancelled after some seconds.
+  void stream(double until, double every_s, double cancelled, std::uint32_t tasks = 1, double run_s = 3) {
+    for (double t = world.now(); t < until; t += every_s) {
+      const int n = 1000 + made_++;
+      const double cancel_at =
+          static_cast<double>(n * 37 % 100) < 100 * cancelled ? t + (n * 53 % 40) / 10.0 : -1;
+      world.at_time(t, [this, n, tasks, run_s, cancel_at] {
+        wire::JobSpec s = job_of(n, tasks, n % 2 == 0 ? "red" : "blue");
+        s.estimate_s = run_s;
+        world.user(s, run_s, cancel_at);
+      });
+    }
+  }
+  void at(double when, const std::function<void()>& fn) { world.at_time(when, fn); }
+  void crash_leader() { world.crash(world.leader().value_or(0)); }
+  static std::string ref(int n) { return "req-" + std::to_string(n); }
+  void cancel(int first, int count, double from, double apart = 0.05) {
+    for (int n = 0; n < count; ++n) at(from + n * apart, [this, n, first] { world.cancel(ref(first + n)); });
+  }
+  std::size_t elections() const { return world.verdict().elections; }
+
+  // All becomes quiet; then nothing is left undone, untold or unanswered.
+  const Verdict& finish(double calm_s = 420) {
+    world.step(world.now() + calm_s);
+    const Verdict& v = world.close();
+    for (const auto& b : v.broken) ADD_FAILURE() << b;
+    EXPECT_EQ(v.unfinished, 0U);
+    EXPECT_EQ(world.cancellations_open(), 0U) << "users who were put off have to hear in the end";
+    return v;
+  }
+
+  World world;
+
+ private:
+  int made_ = 0;
+};
+
+int wide() {
+  const char* n = std::getenv("MEETINGS_WIDE");
+  return n ? std::max(1, std::atoi(n)) : 1;
+}
+
+// Plays `day` for so many seeds; it returns what shows that the meeting happened, and the sum of that must be
+// at least `happened`.
+void meet(int seeds, std::size_t happened, const std::function<std::size_t(std::uint64_t)>& day) {
+  std::size_t sum = 0;
+  for (int seed = 1; seed <= seeds * wide(); ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    sum += day(static_cast<std::uint64_t>(seed));
+    if (::testing::Test::HasFailure()) return;
+  }
+  EXPECT_GE(sum, happened * static_cast<std::size_t>(wide())) << "the meeting did not happen";
+}
+
+// The state service refuses the leader alone from 60 s on; cancellations `a` later; from `b` on it is down
+// for all. Returns how many cancellations were confirmed while the old leader was refused.
+struct Gap {
+  double a = 2, b = 8, down_s = 45;
+  std::function<void(Day&)> beside;
+};
+std::size_t play_gap(const Plan& plan, const Gap& gap) {
+  Day day(plan);
+  day.long_arrays(9, 110);
+  day.world.step(60);
+  const std::size_t old = day.world.leader().value_or(0);
+  day.world.state_refuses(old, 14);
+  day.cancel(10, 7, 60 + gap.a);
+  day.at(60 + gap.b, [&] { day.world.state_outage(gap.down_s); });
+  if (gap.beside) gap.beside(day);
+  const double until = 60 + gap.b + gap.down_s;
+  day.world.step(until);
+  std::size_t confirmed = 0;
+  for (int n = 10; n < 17; ++n) {
+    const double told = day.world.cancelled_at(Day::ref(n));
+    confirmed += told >= 60 && told < until;
+  }
+  day.finish();
+  return confirmed;
+}
+
+TEST(Meetings, TheGapSwept) {
+  std::size_t confirmed = 0;
+  for (double a = -1; a <= 7; a += wide() > 1 ? 0.5 : 2) {
+    for (double b = 1; b <= 13; b += wide() > 1 ? 1 : 3) {
+      for (const double down : {12.0, 45.0, 100.0}) {
+        SCOPED_TRACE("cancelled after " + std::to_string(a) + " s, down after " + std::to_string(b) +
+                     " s for " + std::to_string(down));
+        confirmed += play_gap(deployed(static_cast<std::uint64_t>(10 * a + b + 20)), {a, b, down, {}});
+        if (HasFailure()) return;
+      }
+    }
+  }
+  EXPECT_GT(confirmed, 100U) << "cancellations were confirmed in the gap";
+}
+
+TEST(Meetings, TheGapBesideOtherTroubles) {
+  const std::vector<std::pair<std::string, std::function<void(Day&)>>> beside = {
+      {"all controllers end amid it",
+       [](Day& d) {
+         d.at(75, [&d] {
+           for (std::size_t i = 0; i < 3; ++i) d.world.crash(i);
+         });
+       }},
+      {"machines hang", [](Day& d) { d.at(62.1, [&d] { d.world.ail(World::Ail::hung, 3, 30, "req-10"); }); }},
+      {"machines out of reach",
+       [](Day& d) { d.at(61, [&d] { d.world.ail(World::Ail::unreachable, 3, 50, "req-11"); }); }},
+      {"deaf machines", [](Day& d) { d.at(61, [&d] { d.world.ail(World::Ail::deaf, 3, 40, "req-10"); }); }},
+      {"mute machines", [](Day& d) { d.at(61, [&d] { d.world.ail(World::Ail::mute, 3, 40, "req-10"); }); }},
+      {"answers lost", [](Day& d) { d.at(58, [&d] { d.world.late_writes(0.4, 20, true); }); }},
+      {"late writes", [](Day& d) { d.at(58, [&d] { d.world.late_writes(0.4, 20, false); }); }},
+      {"old reports", [](Day& d) { d.at(50, [&d] { d.world.late_reports(0.5, 12, true); }); }},
+      {"the old leader stands still",
+       [](Day& d) { d.at(61, [&d] { d.world.freeze(d.world.leader().value_or(0), 9); }); }},
+  };
+  std::size_t confirmed = 0;
+  for (const auto& [name, trouble] : beside) {
+    for (std::uint64_t seed = 1; seed <= static_cast<std::uint64_t>(2 * wide()); ++seed) {
+      SCOPED_TRACE(name + ", seed " + std::to_string(seed));
+      confirmed += play_gap(deployed(seed), {2.0 + static_cast<double>(seed % 3), 8, 50, trouble});
+      if (HasFailure()) return;
+    }
+  }
+  EXPECT_GT(confirmed, 30U);
+}
+
+TEST(Meetings, TheGapUnderOtherSettings) {
+  std::size_t confirmed = 0;
+  for (const double leases : {0.0, 2.0, 5.0}) {
+    for (const bool consent : {false, true}) {
+      for (const bool fixed : {false, true}) {
+        SCOPED_TRACE(std::to_string(leases) + " leases" + (consent ? ", consent" : "") +
+                     (fixed ? ", one node without admission" : ""));
+        Plan plan = deployed(7);
+        plan.custody_leases = leases;
+        plan.agreed = consent;
+        plan.one_fixed = fixed;
+        confirmed += play_gap(plan, {2.5, 9, 45, {}});
+        if (HasFailure()) return;
+      }
+    }
+  }
+  EXPECT_GT(confirmed, 10U);
+}
+
+// 1. Asked at all nodes again and again within milliseconds, the submission repeated, right after something
+// was told; some cancel at once.
+TEST(Meetings, AskedAtAllNodesWithinMilliseconds) {
+  meet(4, 3000, [](std::uint64_t seed) {
+    Day day(deployed(seed));
+    day.world.close_looks(90);
+    day.long_arrays(4, 20);
+    day.stream(120, 0.4, 0.4);
+    if (seed % 2 == 0) day.at(60, [&] { day.world.state_slow(20); });
+    for (double t = 70; t < 120; t += 18) day.at(t, [&] { day.crash_leader(); });
+    day.world.step(130);
+    return day.finish(200).looks;
+  });
+}
+
+// 2. Carried out, only the answer lost, while others read what was written.
+TEST(Meetings, OnlyTheAnswerIsLost) {
+  meet(6, 100, [](std::uint64_t seed) {
+    Day day(deployed(seed));
+    day.world.close_looks(80);
+    day.world.late_writes(seed % 2 == 0 ? 0.25 : 0.6, 60, true);
+    day.long_arrays(4, 20);
+    day.stream(110, 0.5, 0.4);
+    day.at(60 + static_cast<double>(seed), [&] { day.crash_leader(); });
+    day.at(90, [&] { day.crash_leader(); });
+    day.world.step(130);
+    return day.finish(240).lost_answers;
+  });
+}
+
+// 3. Every team at its limit; cancelled jobs' machines are cut off or hang; the leader changes. Room is used
+// again as soon as that is proved.
+TEST(Meetings, TeamsAtTheirLimitsCancelWhatIsOutOfReach) {
+  meet(8, 8, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 14);
+    plan.limits = true;
+    Day day(plan);
+    for (int n = 0; n < 10; ++n) {
+      wire::JobSpec s = job_of(10 + n, 8, n % 2 == 0 ? "red" : "blue");
+      s.estimate_s = 50;
+      day.world.user(s, 50);
+    }
+    day.world.step(55);
+    const auto what = seed % 2 == 0 ? World::Ail::unreachable : World::Ail::hung;
+    day.world.ail(what, 5, 12 + 7 * static_cast<double>(seed % 4), "req-10");
+    day.cancel(10, 6, 55.1, 0.2);
+    day.at(55 + 0.7 * static_cast<double>(seed), [&] { day.crash_leader(); });
+    day.world.step(60);
+    const std::size_t elections = day.elections();
+    day.finish();
+    return elections;
+  });
+}
+
+// 4. Cancellations in the seconds in which one controller's work changes hands.
+TEST(Meetings, CancelledWhileTheWorkChangesHands) {
+  meet(12, 12, [](std::uint64_t seed) {
+    Day day(deployed(seed));
+    day.long_arrays(9, 70);
+    day.stream(80, 0.3, 0.5);
+    day.world.step(58);
+    const std::size_t before = day.elections(), old = day.world.leader().value_or(0);
+    const double shift = 0.5 * static_cast<double>(seed % 12);
+    if (seed % 3 == 0) day.at(60, [&] { day.world.crash(old); });
+    if (seed % 3 == 1) day.at(60, [&] { day.world.freeze(old, 7); });
+    if (seed % 3 == 2) day.at(60, [&] { day.world.cut_node(old, true, false, 12, seed % 2 == 0); });
+    day.cancel(10, 8, 59 + shift, 0.1);
+    day.world.step(80);
+    const std::size_t changes = day.elections() - before;
+    day.finish();
+    return changes;
+  });
+}
+
+// 5. Machines up within two seconds get work at once while writes lag, and the leader ends.
+TEST(Meetings, MachinesUpAtOnceWhileWritesLag) {
+  meet(8, 40, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 4);
+    plan.most_machines = 24;
+    Day day(plan);
+    day.world.quick_boots(60);
+    day.world.late_writes(seed % 2 == 0 ? 0.3 : 0.6, 40, seed % 4 < 2);
+    for (int n = 0; n < 8; ++n) {
+      wire::JobSpec s = job_of(10 + n, 10, n % 2 == 0 ? "red" : "blue");
+      s.estimate_s = 40;
+      day.world.user(s, 40);
+    }
+    const std::size_t before = day.world.machines_in(0) + day.world.machines_in(1);
+    for (int k = 0; k < 3; ++k)
+      day.at(43 + 0.5 * static_cast<double>(seed) + 9 * k, [&] { day.crash_leader(); });
+    day.cancel(10, 3, 50, 0.3);
+    day.world.step(80);
+    const std::size_t rented = day.world.machines_in(0) + day.world.machines_in(1) - before;
+    const Verdict& v = day.finish();
+    EXPECT_GT(v.late_writes + v.lost_answers, 0U);
+    return rented;
+  });
+}
+
+// 6. Old reports at every node as a new leader begins, once it has acted, after newer ones, from an earlier
+// session or attempt.
+TEST(Meetings, OldReportsSettleNothing) {
+  meet(8, 400, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 8);
+    plan.limits = seed % 2 == 0;
+    Day day(plan);
+    day.long_arrays(6, 25);
+    day.stream(150, 0.6, 0.3);
+    day.world.late_reports(0.4, 60, seed % 3 != 0);
+    day.at(52, [&] { day.world.ail(World::Ail::unreachable, 3, 26); });  // their sessions end
+    day.at(60 + 0.3 * static_cast<double>(seed), [&] { day.crash_leader(); });
+    day.at(85, [&] {
+      day.world.late_reports(0.4, 50, seed % 3 == 0);
+      day.crash_leader();
+    });
+    day.at(110, [&] { day.crash_leader(); });
+    day.cancel(10, 3, 60.5, 1.5);
+    day.world.step(160);
+    const Verdict& v = day.finish();
+    EXPECT_GT(v.kept_reports, 0U);
+    return v.late_reports + v.kept_reports;
+  });
+}
+
+// 7. One-task jobs four a second for minutes, a quarter of them cancelled: within the budget of the smallest
+// site, and nothing of them stays behind but their final states.
+TEST(Meetings, OneTaskJobsFourASecond) {
+  meet(2, 800, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 12);
+    plan.write_rps = 21;
+    Day day(plan);
+    day.stream(160, 0.25, 0.25);
+    if (seed % 2 == 0) day.at(100, [&] { day.crash_leader(); });
+    day.world.step(170);
+    day.world.cancel(Day::ref(1)), day.world.cancel(Day::ref(2));
+    const Verdict& v = day.finish(120);
+    EXPECT_LT(v.most_writes, 1.0);
+    EXPECT_EQ(day.world.keys("j/"), 0U) << "live records, marks or sheets were left behind";
+    EXPECT_GT(v.cancelled, 80U);
+    return v.accepted;
+  });
+}
+
+// 8. A command or its answer is held up for seconds, and the machine then goes on.
+TEST(Meetings, CommandsHeldUpAtMachinesThatGoOn) {
+  meet(10, 10, [](std::uint64_t seed) {
+    Day day(deployed(seed, 6));
+    for (double t = 45; t < 95; t += 3.1) {
+      day.at(t, [&day, seed, t] {
+        day.world.ail(World::Ail::hung, 2, 0.5 + std::fmod(t * static_cast<double>(seed), 7.0));
+      });
+    }
+    day.long_arrays(6, 15);
+    day.stream(100, 0.4, 0.5);
+    day.cancel(10, 4, 47, 2.3);
+    if (seed % 2 == 0) day.at(70, [&] { day.crash_leader(); });
+    day.world.step(110);
+    return day.finish().told_gone;
+  });
+}
+
+// 9. Transactions without an answer are carried out after newer ones of the same controller.
+TEST(Meetings, TransactionsCarriedOutLate) {
+  meet(8, 100, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 5);
+    plan.most_machines = 14;
+    Day day(plan);
+    day.world.close_looks(60);
+    day.world.late_writes(0.3, 70, false);
+    day.world.quick_boots(60);
+    day.long_arrays(8, 20, 6);
+    day.stream(110, 0.5, 0.3, 2);
+    day.at(75 + static_cast<double>(seed), [&] { day.crash_leader(); });
+    if (seed % 2 == 0) day.at(100, [&] { day.crash_leader(); });
+    day.world.step(120);
+    return day.finish().late_writes;
+  });
+}
+
+// 10. A leader ends while machines with long tasks can't be reached, or don't hear the new one.
+TEST(Meetings, ALeaderEndsWhileMachinesAreOutOfReach) {
+  meet(9, 9, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 8);
+    plan.limits = seed % 2 == 0;
+    Day day(plan);
+    day.long_arrays(6, 80);
+    day.world.step(58);
+    constexpr World::Ail kinds[] = {World::Ail::unreachable, World::Ail::deaf, World::Ail::mute};
+    day.world.ail(kinds[seed % 3], 3, seed % 2 == 0 ? 15 : 45, "req-10");
+    day.at(58.5 + static_cast<double>(seed % 4), [&] { day.crash_leader(); });
+    day.cancel(10, 3, 60, 1.7);
+    day.stream(90, 1, 0.3);
+    day.world.step(120);
+    const std::size_t changes = day.elections();
+    day.finish();
+    return changes;
+  });
+}
+
+// 11. Leaders change ten times in two minutes, also inside an outage; all end and one returns; all are away
+// for longer than a lease; a zone with workers and a controller is cut off for longer than a lease.
+TEST(Meetings, LeadersChangeTenTimes) {
+  meet(4, 28, [](std::uint64_t seed) {
+    Day day(deployed(seed));
+    day.long_arrays(8, 40);
+    day.stream(170, 0.7, 0.4);
+    for (int k = 0; k < 10; ++k) day.at(50 + 12 * k, [&] { day.crash_leader(); });
+    if (seed % 2 == 0) day.at(80, [&] { day.world.state_outage(20); });
+    day.cancel(10, 6, 51, 9);
+    day.world.step(180);
+    const std::size_t n = day.elections();
+    day.finish();
+    return n;
+  });
+}
+
+TEST(Meetings, AllControllersEndAndReturn) {
+  meet(6, 12, [](std::uint64_t seed) {
+    Plan plan = deployed(seed);
+    const bool long_away = seed % 3 == 0;
+    plan.back_from = long_away ? 24 : 0.1;
+    plan.back_to = long_away ? 30 : 1;
+    Day day(plan);
+    day.long_arrays(6, 40);
+    day.stream(110, 0.7, 0.4);
+    const auto all = [&day] {
+      for (std::size_t i = 0; i < 3; ++i) day.world.crash(i);
+    };
+    day.at(60, all);
+    if (!long_away) day.at(61 + 0.3 * static_cast<double>(seed), all);
+    day.at(100, all);
+    day.cancel(10, 4, 59.5, 0.4);
+    day.world.step(150);
+    const std::size_t n = day.elections();
+    day.finish();
+    return n;
+  });
+}
+
+TEST(Meetings, AZoneWithAControllerIsCutOffForLongerThanALease) {
+  meet(6, 6, [](std::uint64_t seed) {
+    Day day(deployed(seed));
+    day.long_arrays(8, 60);
+    day.stream(140, 1, 0.4);
+    day.world.step(58);
+    day.world.cut_zone(seed % 2, 35, seed % 4 < 2);
+    day.cancel(10, 7, 57 + static_cast<double>(seed), 0.4);
+    if (seed % 3 == 0) day.at(70, [&] { day.crash_leader(); });
+    day.world.step(150);
+    const std::size_t n = day.world.verdict().kept_in_custody;
+    day.finish();
+    return std::min<std::size_t>(n, 1);
+  });
+}
+
+// 12. A leader is cut off from the state service and the other controllers while workers and users still
+// reach it; jobs are cancelled through the new one.
+TEST(Meetings, ALeaderCutOffFromStateAndPeers) {
+  meet(8, 8, [](std::uint64_t seed) {
+    Day day(deployed(seed));
+    day.world.close_looks(60);
+    day.long_arrays(8, 70);
+    day.stream(110, 0.6, 0.4);
+    day.world.step(60);
+    const std::size_t old = day.world.leader().value_or(0);
+    day.world.cut_node(old, true, true, 12 + 5 * static_cast<double>(seed % 5), seed % 2 == 0);
+    day.cancel(10, 7, 60 + 0.8 * static_cast<double>(seed), 0.5);
+    day.world.step(75);
+    const std::size_t moved = day.world.leader().value_or(old) != old;
+    day.world.step(120);
+    day.finish();
+    return moved;
+  });
+}
+
+// 13. Jobs of two or three tasks end far apart across a change of leader; a cancellation, question or
+// repeated submission meets the end of a last task.
+TEST(Meetings, EndsFarApartAndCancelledAtTheEnd) {
+  meet(6, 60, [](std::uint64_t seed) {
+    Day day(deployed(seed, 8));
+    day.world.slow_machines(4, 5);  // of two tasks one takes five times as long
+    day.world.close_looks(100);
+    day.world.cancel_at_end(0.5, 100);
+    day.world.odd_requests(100);
+    day.stream(120, 0.5, 0.1, 2 + static_cast<std::uint32_t>(seed % 2), 4);
+    if (seed % 3 != 0) {
+      for (double t = 60; t < 130; t += 17) day.at(t, [&] { day.crash_leader(); });
+    }
+    day.world.step(140);
+    const Verdict& v = day.finish();
+    EXPECT_GT(v.odd_answers, 50U);
+    return v.at_the_end;
+  });
+}
+
+// 14. Jobs bound to one zone, arrays too, lose machines; a team at its limit when the leader changes and some
+// machines can't be asked, and a cancellation in that spell.
+TEST(Meetings, BoundToAZoneThatLosesMachines) {
+  meet(6, 6, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 12);
+    plan.limits = true;
+    plan.most_machines = 16;
+    Day day(plan);
+    for (int n = 0; n < 8; ++n) {
+      wire::JobSpec s = job_of(10 + n, 5, n % 2 == 0 ? "red" : "blue");
+      s.estimate_s = 40;
+      if (n % 2 == 0) s.zone = "z0";
+      if (n % 4 == 1) s.one_zone = true;
+      day.world.user(s, 40);
+    }
+    day.world.step(56);
+    day.world.kill_in_zone(0, 2);
+    day.world.ail(World::Ail::unreachable, 2, 18);
+    day.at(56 + 0.8 * static_cast<double>(seed), [&] { day.crash_leader(); });
+    day.cancel(10, 3, 57, 1.3);
+    day.stream(90, 1, 0.3);
+    day.world.step(100);
+    const std::size_t n = day.elections() - 1;
+    day.finish();
+    return n;
+  });
+}
+
+// 15. The service answers slowly, or refuses the leader alone and then everybody for longer than cancel_s,
+// while users cancel and ask.
+TEST(Meetings, ASlowServiceWhileUsersCancelAndAsk) {
+  meet(4, 1000, [](std::uint64_t seed) {
+    Day day(deployed(seed));
+    day.world.close_looks(140);
+    day.long_arrays(8, 60);
+    day.stream(150, 0.5, 0.5);
+    day.at(50, [&] { day.world.state_slow(60); });
+    day.at(60, [&] {
+      if (seed % 2 == 0) day.world.state_refuses(day.world.leader().value_or(0), 10);
+    });
+    day.at(64 + static_cast<double>(seed), [&] {
+      if (seed % 2 == 0) day.world.state_outage(40);
+    });
+    day.cancel(10, 7, 60, 0.8);
+    day.world.step(170);
+    return day.finish().looks;
+  });
+}
+
+// A job that needs a cancelled one: its leader knows, but what it writes gets no answer for longer than
+// cancel_s. A follower whose question the leader puts off once answered from a fresh read that it was queued
+// (seed 1001007).
+TEST(Meetings, AnOrphanWhoseEndCanNotBeRecorded) {
+  meet(6, 6, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 6);
+    plan.chains = true;
+    Day day(plan);
+    wire::JobSpec first = job_of(10, 2, "red");
+    day.world.user(first, 100);
+    day.world.step(50);
+    for (int n = 11; n < 14; ++n) {
+      wire::JobSpec next = job_of(n, 1, "red");
+      next.waits_on = {Day::ref(n - 1)};
+      day.world.user(next, 5);
+      day.world.step(day.world.now() + 2);
+    }
+    day.world.cancel("req-10");
+    for (double t = day.world.now(); day.world.keys("f/") == 0 && t < 80; t += 0.0002) day.world.step(t);
+    day.world.state_outage(33);
+    const double back = day.world.now() + 33;
+    for (int n = 11; n < 14; ++n) day.world.watch_closely(Day::ref(n), 60);
+    day.world.step(back);
+    day.world.late_writes(1, 8, false);
+    day.world.step(back + 2);
+    const bool open = day.world.cancelled_at(Day::ref(13)) < 0;
+    day.world.step(back + 10);
+    const Verdict& v = day.finish();
+    EXPECT_EQ(v.orphans, 3U);
+    return static_cast<std::size_t>(open);
+  });
+}
+
+}  // namespace
+}  // namespace wingtrail::world
--- a/tests/world_hunt.cpp
+++ b/tests/world_hunt.cpp
@@ -45,7 +45,12 @@
       std::cout << v.started << " started, " << v.accepted << " accepted, " << v.finished << " finished, "
                 << v.cancelled << " cancelled, " << v.elections << " elections, " << v.chained << " chained, "
                 << v.orphans << " orphans, " << v.over_limits << " over limits, " << v.on_sheets
-                << " on sheets, " << v.put_off << " put off\n";
+                << " on sheets, " << v.put_off << " put off\n"
+                << v.late_writes << " written late, " << v.lost_answers << " answers lost, " << v.late_reports
+                << " late reports, " << v.kept_reports << " kept for the next leader, " << v.unheard
+                << " unheard, " << v.called_off << " called off together, " << v.at_the_end
+                << " cancelled at the end, " << v.odd_answers << " odd requests, " << v.looks
+                << " close looks, unanswered for " << v.longest_unanswered << " s at most\n";
     }
   }
   std::cout << broken << " of " << count << " seeds broke a rule, " << unfinished << " left work undone\n";
