A new leader always reads its jobs: the last to ask again which are over is told so

Change: whoever finds nothing left to ask tells it, once; a leader that reads grants custody like one that has read; one that has read nothing for 12 s resigns.

--- a/src/daemon/leading.cpp
+++ b/src/daemon/leading.cpp
@@ -12,6 +12,7 @@
 void Node::elected() {
   ++term_;
   loaded_ = false;
+  read_at_ = out_.now();
   intents_.clear();
   registry_.clear();
   chains_.clear();
@@ -54,6 +55,7 @@
   store_.range(prefix, after, [this, prefix, after, term](const store::Reply& r) {
     if (term != term_) return;
     auto range = r.status == 200 ? wire::parse_range(r.body) : wire::Result<wire::Range>::fail("");
+    read_at_ = range ? out_.now() : read_at_;
     if (!range) {
       return out_.after(0.2, [this, prefix, after, term] {
         if (term == term_) load(prefix, after, term);
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -12,6 +12,8 @@
 constexpr Seconds kFirstGreetings = 0.1;  // and doubling until then, while a node is new
 constexpr Seconds kPeerFresh = 2.5;       // a peer heard of within this time is taken to be there
 constexpr Seconds kPeriod = 0.25;
+constexpr Seconds kReadsWithin =
+    12;  // of a new leader, one answer at least: twice what it waits for one, and more
 constexpr Seconds kStatsEvery = 10;
 constexpr Seconds kCatalogEvery = 60;
 constexpr Seconds kBouncedWindow = 4;
@@ -366,7 +368,8 @@
   for (std::size_t i = 0; i < settings_.peers.size(); ++i) {
     if (settings_.peers[i].name != f.node) continue;
     heard(i, f);
-    const bool grant = entitled() && modern() && custody_span_ > 0;
+    // Before it has read its jobs, too: it answers nobody itself until then.
+    const bool grant = election_.entitled() && modern() && custody_span_ > 0;
     const bool consent = !grant && f.level >= peer::kConsent && may_consent();
     const bool lends = election_.entitled() && f.admission && settings_.tunables.admission > 0;
     if (f.path.empty() && f.cell.empty() && (grant || consent || lends)) {
@@ -522,7 +525,8 @@
   // The state service went away while a new leader was reading: it knows no machine, so it may not answer for
   // any, and stands in the way of those that could.
   if (election_.leading() && !loaded_ &&
-      out_.now() > election_.authority_until() + settings_.tunables.leader_lease_s)
+      (out_.now() > election_.authority_until() + settings_.tunables.leader_lease_s ||
+       out_.now() > read_at_ + kReadsWithin))
     election_.resign(0, "nothing could be read");
   if (election_.leading() && loaded_) {
     agents_.tick();
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -293,6 +293,7 @@
   std::deque<std::string> finals_order_;
   std::uint64_t term_ = 0;
   bool loaded_ = false;
+  Seconds read_at_ = 0;               // while not loaded: when something was last read
   std::vector<std::string> intents_;  // read while loading
   std::deque<std::string> to_ask_;    // needed jobs that nothing is known of
   int asking_ = 0;
--- a/src/daemon/sheets.cpp
+++ b/src/daemon/sheets.cpp
@@ -208,19 +208,26 @@
 struct Node::Over {
   std::vector<std::string> refs;
   std::set<std::string> over;
-  int open = 0;
+  int open = 0;  // under way, or to be asked again
+  bool told = false;
   std::uint64_t term = 0;
   std::function<void(const std::set<std::string>&)> then;
 };
 
 void Node::ask_over(std::vector<std::string> refs, std::function<void(const std::set<std::string>&)> then) {
-  auto o = std::make_shared<Over>(Over{std::move(refs), {}, 0, term_, std::move(then)});
-  if (o->refs.empty()) return o->then(o->over);
+  auto o = std::make_shared<Over>(Over{std::move(refs), {}, 0, false, term_, std::move(then)});
   for (int n = 0; n < kAskAtOnce; ++n) ask_some_over(o);
 }
 
 void Node::ask_some_over(const std::shared_ptr<Over>& o) {
-  if (o->refs.empty()) return;
+  // Whoever finds nothing left to ask, and nobody still asking, is the last. One that comes back to ask again
+  // may find that another has asked for it; once that one, having looked before, left it to nobody, and a
+  // leader renewed its lease without ever having read its jobs (looks day of our own, cub-meterlink-hunt:
+  // every task was killed by its lease).
+  if (o->refs.empty()) {
+    if (o->open == 0 && !std::exchange(o->told, true)) o->then(o->over);
+    return;
+  }
   wire::Txn txn;
   std::vector<std::string> asked;
   while (!o->refs.empty() && txn.conditions() < 4 * settings_.txn_ops) {
@@ -233,6 +240,7 @@
              [this, o, asked = std::move(asked)](const store::Reply& r) {
                if (o->term != term_) return;
                --o->open;
+               if (r.status == 200 || r.status == 409) read_at_ = out_.now();
                if (r.status != 200 && r.status != 409) {
                  o->refs.insert(o->refs.end(), asked.begin(), asked.end());
                  ++o->open;
@@ -247,7 +255,6 @@
                  for (const std::string& key : wire::failed_keys(r.body)) o->over.insert(key.substr(prefix));
                }
                ask_some_over(o);
-               if (o->open == 0 && o->refs.empty()) o->then(o->over);
              });
 }
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -563,6 +563,31 @@
   });
 }
 
+// A new leader asks by several transactions at once which jobs on sheets are over, and some get no answer. It
+// once renewed its lease without ever having read its jobs: the last to ask again found nothing to ask.
+TEST(Meetings, ANewLeaderReadsItsJobsThoughAnswersAreLost) {
+  meet(6, 12, [](std::uint64_t seed) {
+    Plan plan = deployed(seed, 12);
+    Day day(plan);
+    for (int n = 0; n < 260; ++n) {
+      day.at(41 + 0.02 * (n / 20), [&day, n] {
+        wire::JobSpec s = job_of(1000 + n, 1, n % 2 == 0 ? "red" : "blue");
+        s.estimate_s = 30;
+        day.world.user(s, 30);
+      });
+    }
+    day.world.step(50);
+    day.world.late_writes(0.35, 40, true);
+    for (int k = 0; k < 3; ++k) day.at(52 + 12 * k, [&] { day.crash_leader(); });
+    day.world.step(95);
+    const std::size_t n = day.elections();
+    const Verdict& v = day.finish(500);
+    EXPECT_EQ(v.lost_by_lease, 0U);
+    EXPECT_GT(v.on_sheets, 100U);
+    return n;
+  });
+}
+
 // Large arrays behind a stream of small ones, of equal and of higher priority, that is more than there is
 // room for; links are slow for a while and the leader ends. With the order of aims alone they never began.
 TEST(Meetings, LargeArraysBeginBesideMoreWorkThanRoom) {
