The simulated cluster checks that nothing waits beside room once all is calm; each check is shown to fail; progress alone by version

Change: `longest_beside_room`, at most 90 s in every meeting; Meetings.TheChecksCanFail plants a fault for each new check; a mutant showed that progress was guarded in the test only by the roster's page in the same transaction, and another that the orphan's meeting never let a read through: both tests made to notice.

--- a/src/emulator/meetings.cpp
+++ b/src/emulator/meetings.cpp
@@ -172,7 +172,7 @@
   send("users", node_name(i), [this, in, i, ref = s.ref, kind] {
     deliver(i, in, [this, ref, kind](const ports::Answer& a) {
       ++verdict_.odd_answers;
-      if (a.status < 300 || (kind == 3 && a.status != 400))
+      if (a.status < 300 || plan_.sabotage == "odd_accepted" || (kind == 3 && a.status != 400))
         broke("accepted_odd", ref + " got " + std::to_string(a.status));
     });
   });
@@ -186,6 +186,14 @@
   });
 }
 
+// A planted fault: an order of nobody's brings a task of it to some machine.
+void World::start_anywhere(const UserJob& job) {
+  for (auto& [name, h] : hosts_) {
+    if (h->gone || h->dead || !h->up) continue;
+    return order(*h, {{"verb", "start"}, {"shard", job.spec.ref + "/0"}, {"try", std::uint64_t{1} << 60}});
+  }
+}
+
 // ---------------------------------------------------------------- what tests ask
 
 double World::began_at(const std::string& ref) const { return jobs_.at(ref)->began_at; }
--- a/src/emulator/parts.hpp
+++ b/src/emulator/parts.hpp
@@ -50,8 +50,9 @@
   std::set<std::uint32_t> done, begun;
   std::vector<UserJob*> needs, needed_by;
   double came = 0, accepted_at = -1, began_at = -1, over_at = -1;
-  double answered_at = -1;  // its user's last question that was
-  double doomed_at = -1;    // since when a job that it needs, or itself, is known to be cancelled
+  double beside_room_since = -1;  // a task of it waits though some machine could take it
+  double answered_at = -1;        // its user's last question that was
+  double doomed_at = -1;          // since when a job that it needs, or itself, is known to be cancelled
   bool over() const { return done.size() >= spec.tasks; }
 };
 
--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -1,4 +1,6 @@
 // The rules of the protocol, checked against what really is on the machines.
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -161,4 +163,72 @@
     broke("unanswered", job.spec.ref + ": no answer for " + std::to_string(spell) + " s, all being calm");
 }
 
+// Whether a sound machine has room for one more task of the job, and its team's limit too.
+bool World::room_beside(const UserJob& job) const {
+  const wire::JobSpec& s = job.spec;
+  double team = 0;
+  std::map<std::size_t, std::uint32_t> zones;
+  for (const auto& [name, h] : hosts_) {
+    if (h->gone || h->dead) continue;
+    for (const TaskOn& x : h->tasks) {
+      if (x.phase == "exited" || !x.job) continue;
+      if (x.job->spec.team == s.team) team += x.job->spec.need.cpus;
+      zones[h->zone] += x.job == &job;
+    }
+  }
+  for (const auto& t : settings_.teams) {
+    if (t.name == s.team && t.cpus_max > 0 && team + s.need.cpus > t.cpus_max + 1e-6) return false;
+  }
+  return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto& entry) {
+    const Host& h = *entry.second;
+    if (h.gone || h.dead || !h.up || h.sick || h.slow > 1 ||
+        t_ < std::max({h.hung_until, h.deaf_until, h.mute_until}))
+      return false;
+    if ((h.spot && !s.spot) || (s.zone && *s.zone != settings_.zones[h.zone])) return false;
+    if (!s.types.empty() && std::find(s.types.begin(), s.types.end(), catalog_[h.type].name) == s.types.end())
+      return false;
+    const auto here = zones.find(h.zone);
+    if (s.spread && here != zones.end() && here->second + 1 > (s.tasks + 1) / 2) return false;
+    if (s.one_zone && std::any_of(zones.begin(), zones.end(),
+                                  [&h](const auto& z) { return z.second > 0 && z.first != h.zone; }))
+      return false;
+    double cpus = s.need.cpus, memory = s.need.memory_gb;
+    for (const TaskOn& x : h.tasks) {
+      if (x.phase == "exited" || !x.job) continue;
+      cpus += x.job->spec.need.cpus;
+      memory += x.job->spec.need.memory_gb;
+    }
+    return cpus <= catalog_[h.type].cpus + 1e-9 && memory <= catalog_[h.type].memory_gb + 1e-9;
+  });
+}
+
+// Troubles being over, nothing waits for long beside room for it. Gangs need room for all, and what fails
+// everywhere backs off.
+void World::check_waiting() {
+  later(5, [this] { check_waiting(); });
+  if (t_ < calm_at()) return;
+  for (auto& [ref, job] : jobs_) {
+    UserJob& j = *job;
+    std::set<std::uint32_t> there = j.done;
+    for (const auto& [name, h] : hosts_) {
+      if (h->gone || h->dead) continue;
+      for (const TaskOn& x : h->tasks) {
+        if (x.job == &j && x.phase != "exited") there.insert(x.index);
+      }
+    }
+    const bool waits =
+        j.accepted && !j.want_abort && !j.bad && j.spec.shape != wire::Shape::gang && !hopeless(j) &&
+        there.size() < j.spec.tasks &&
+        std::all_of(j.needs.begin(), j.needs.end(), [](const UserJob* n) { return n->over(); });
+    if (!waits || !room_beside(j)) {
+      j.beside_room_since = -1;
+      continue;
+    }
+    if (j.beside_room_since < 0) j.beside_room_since = t_;
+    if (t_ - j.beside_room_since > verdict_.longest_beside_room)
+      spdlog::debug("{:.3f} {} waits beside room since {:.1f}", t_, ref, j.beside_room_since);
+    verdict_.longest_beside_room = std::max(verdict_.longest_beside_room, t_ - j.beside_room_since);
+  }
+}
+
 }  // namespace wingtrail::world
--- a/src/emulator/users.cpp
+++ b/src/emulator/users.cpp
@@ -198,6 +198,7 @@
     if (job.told_cancelled < 0) {
       job.told_cancelled = t_;
       ++verdict_.told_gone;
+      if (plan_.sabotage == "start_after_told") start_anywhere(job);
       if (t_ < looks_until_) look_closely(job);
       ++verdict_.cancelled;
       verdict_.orphans += !job.want_abort;
@@ -226,8 +227,10 @@
   const bool was_over = job.told_done || job.told_cancelled >= 0;
   send("users", node_name(i), [this, i, in, &job, asked, was_over, how] {
     deliver(i, in, [this, &job, asked, was_over, how](const ports::Answer& a) {
-      if (t_ - asked > 2) return;
+      if (t_ - asked > 2 || plan_.sabotage == "questions_unanswered") return;
       if (a.status == 200) answered(job);
+      if (plan_.sabotage == "older_answer" && was_over)
+        return heard(job, 200, wire::job_progress(job.spec.ref, wire::Phase::running, 0, 1), how);
       const bool over = job.told_done || job.told_cancelled >= 0;
       if (over && !was_over && a.status == 200)
         return;  // overtaken by another answer while it was on its way
--- a/src/emulator/workers.cpp
+++ b/src/emulator/workers.cpp
@@ -160,6 +160,7 @@
     return;
   }
   if (it != h.tasks.end()) return;
+  if (plan_.sabotage == "start_ignored" && name.starts_with("req-10/")) return;
   TaskOn x;
   x.name = name;
   x.attempt = attempt;
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -98,6 +98,7 @@
   if (!plan_.script) at(1, [this] { submit_some(); });
   if (plan_.fault_every_s > 0) at(plan_.fault_every_s, [this] { trouble(); });
   at(0, [this] { keep_listing(); });
+  at(0, [this] { check_waiting(); });
   if (!plan_.upgrade) return;
   // One after the other, whatever else goes on; a node that dies before its turn comes back as it was.
   double when = between(15, 60);
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -85,13 +85,14 @@
   // What the troubles of meetings came to.
   std::size_t late_writes = 0, lost_answers = 0;   // transactions carried out late, or at once unheard
   std::size_t late_reports = 0, kept_reports = 0;  // copies that arrived again; of these, after a new leader
-  std::size_t unheard = 0;        // answers and orders that deaf machines lost, reports that mute ones did
-  std::size_t called_off = 0;     // running jobs cancelled together
-  std::size_t at_the_end = 0;     // jobs cancelled at the end of their last task
-  std::size_t odd_answers = 0;    // to odd requests
-  std::size_t looks = 0;          // questions within milliseconds after something was told
-  std::size_t told_gone = 0;      // cancellations confirmed
-  double longest_unanswered = 0;  // a job's longest spell without an answered question, troubles being over
+  std::size_t unheard = 0;         // answers and orders that deaf machines lost, reports that mute ones did
+  std::size_t called_off = 0;      // running jobs cancelled together
+  std::size_t at_the_end = 0;      // jobs cancelled at the end of their last task
+  std::size_t odd_answers = 0;     // to odd requests
+  std::size_t looks = 0;           // questions within milliseconds after something was told
+  std::size_t told_gone = 0;       // cancellations confirmed
+  double longest_beside_room = 0;  // a job's longest wait beside a machine with room for it, all being calm
+  double longest_unanswered = 0;   // a job's longest spell without an answered question, troubles being over
 };
 
 class World;
@@ -303,9 +304,12 @@
   void abort_at(UserJob& job, std::size_t node);
   void look_closely(UserJob& job);
   void odd_request();
+  void start_anywhere(const UserJob& job);
   void release_reports(std::size_t node);
   void answered(UserJob& job);
   void check_answered(UserJob& job);
+  void check_waiting();
+  bool room_beside(const UserJob& job) const;
   void troubled(double for_s);  // a trouble that lasts for so long begins now
   double calm_at() const;       // from when no trouble is left
 
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -69,6 +69,7 @@
     const Verdict& v = world.close();
     for (const auto& b : v.broken) ADD_FAILURE() << b;
     EXPECT_EQ(v.unfinished, 0U);
+    EXPECT_LE(v.longest_beside_room, 90) << "all was calm";
     EXPECT_EQ(world.cancellations_open(), 0U) << "users who were put off have to hear in the end";
     return v;
   }
@@ -534,7 +535,7 @@
 // cancel_s. A follower whose question the leader puts off once answered from a fresh read that it was queued
 // (seed 1001007).
 TEST(Meetings, AnOrphanWhoseEndCanNotBeRecorded) {
-  meet(6, 6, [](std::uint64_t seed) {
+  meet(8, 3, [](std::uint64_t seed) {
     Plan plan = deployed(seed, 6);
     plan.chains = true;
     Day day(plan);
@@ -553,8 +554,8 @@
     const double back = day.world.now() + 33;
     for (int n = 11; n < 14; ++n) day.world.watch_closely(Day::ref(n), 60);
     day.world.step(back);
-    day.world.late_writes(1, 8, false);
-    day.world.step(back + 2);
+    day.world.late_writes(0.7, 8, false);  // of reads for users too, so some of them do get through
+    day.world.step(back + 1.4);
     const bool open = day.world.cancelled_at(Day::ref(13)) < 0;
     day.world.step(back + 10);
     const Verdict& v = day.finish();
@@ -588,6 +589,30 @@
   });
 }
 
+// Each check of the meetings fails for a fault that is planted for it.
+TEST(Meetings, TheChecksCanFail) {
+  const auto broken = [](const std::string& sabotage) {
+    Plan plan = deployed(3, 6);
+    plan.sabotage = sabotage;
+    Day day(plan);
+    day.world.odd_requests(20);
+    day.long_arrays(2, 30);
+    day.world.step(60);
+    day.cancel(11, 1, 61);
+    day.world.step(330);
+    std::string rules;
+    for (const auto& b : day.world.verdict().broken) rules += b.substr(0, b.find(' ')) + " ";
+    if (day.world.verdict().longest_beside_room > 90) rules += "beside_room";
+    return rules;
+  };
+  EXPECT_EQ(broken(""), "");
+  EXPECT_EQ(broken("start_ignored"), "beside_room");
+  EXPECT_EQ(broken("start_after_told"), "started_cancelled ");
+  EXPECT_EQ(broken("questions_unanswered"), "unanswered ");
+  EXPECT_EQ(broken("older_answer"), "went_back ");
+  EXPECT_EQ(broken("odd_accepted"), "accepted_odd ");
+}
+
 // Large arrays behind a stream of small ones, of equal and of higher priority, that is more than there is
 // room for; links are slow for a while and the leader ends. With the order of aims alone they never began.
 TEST(Meetings, LargeArraysBeginBesideMoreWorkThanRoom) {
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -369,6 +369,28 @@
   }
 }
 
+// The same of progress alone: with a page of the roster in the same transaction, that one's version would do.
+TEST_F(RecordsTest, OlderProgressNeverStandsForNewer) {
+  Leader l(8, 12);
+  Job& job = l.job("req-1", 40);
+  const auto complete = [&](std::uint32_t task) {
+    l.registry.complete(job, task, kNone);
+    l.ledger.progress(job, task, 0, 1);
+  };
+  complete(3);
+  ASSERT_TRUE(run(l));
+  complete(4);
+  lose = 1;
+  ASSERT_TRUE(run_until_lost(l));
+  complete(5);
+  ASSERT_TRUE(run(l));
+  ASSERT_EQ(late.size(), 1U);
+  ports::Reply ignored;
+  apply(late.front(), ignored);
+  EXPECT_EQ(ignored.status, 409);
+  EXPECT_EQ(former_reads("req-1"), (std::set<std::uint32_t>{3, 4, 5}));
+}
+
 TEST_F(RecordsTest, EndsTellTheTimeAndFormerOnesAreRead) {
   const auto ended = wire::parse_ended({{"phase", "done"}, {"tasks", 3}});
   ASSERT_TRUE(ended);
--- a/tests/world_hunt.cpp
+++ b/tests/world_hunt.cpp
@@ -50,7 +50,8 @@
                 << " late reports, " << v.kept_reports << " kept for the next leader, " << v.unheard
                 << " unheard, " << v.called_off << " called off together, " << v.at_the_end
                 << " cancelled at the end, " << v.odd_answers << " odd requests, " << v.looks
-                << " close looks, unanswered for " << v.longest_unanswered << " s at most\n";
+                << " close looks, beside room for " << v.longest_beside_room << " s at most, unanswered for "
+                << v.longest_unanswered << " s at most\n";
     }
   }
   std::cout << broken << " of " << count << " seeds broke a rule, " << unfinished << " left work undone\n";
