--- a/src/sched/reservations.cpp
+++ b/src/sched/reservations.cpp
@@ -134,7 +134,7 @@
 // Starts the task that comes first of those that wait for room here: in the machine's queue, or long.
 bool Scheduler::serve_once(Machine& m) {
   Job* first = first_long(m);
-  // Only work within a guarantee goes before one that must begin.
+  // Services and long work within a guarantee go before one that must begin.
   const auto yields = [this](const Job* job) { return !job || !under_guarantee(*job); };
   if (Job* overdue = yields(first) ? first_overdue(m) : nullptr) return start(m, *overdue), true;
   if (queues_.size() <= m.ix) queues_.resize(m.ix + 1), in_queued_.resize(m.ix + 1);
