The check of what waits beside room walks the machines once, not once for each job

Cause: a last read of the change: every five seconds each job walked all machines for its own tasks. Change: one walk gathers the tasks of all. No behaviour changed.

--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -207,15 +207,18 @@
 void World::check_waiting() {
   later(5, [this] { check_waiting(); });
   if (t_ < calm_at()) return;
+  std::map<const UserJob*, std::set<std::uint32_t>> on_machines;
+  for (const auto& [name, h] : hosts_) {
+    if (h->gone || h->dead) continue;
+    for (const TaskOn& x : h->tasks) {
+      if (x.job && x.phase != "exited") on_machines[x.job].insert(x.index);
+    }
+  }
   for (auto& [ref, job] : jobs_) {
     UserJob& j = *job;
     std::set<std::uint32_t> there = j.done;
-    for (const auto& [name, h] : hosts_) {
-      if (h->gone || h->dead) continue;
-      for (const TaskOn& x : h->tasks) {
-        if (x.job == &j && x.phase != "exited") there.insert(x.index);
-      }
-    }
+    if (const auto found = on_machines.find(&j); found != on_machines.end())
+      there.insert(found->second.begin(), found->second.end());
     const bool waits =
         j.accepted && !j.want_abort && !j.bad && j.spec.shape != wire::Shape::gang && !hopeless(j) &&
         there.size() < j.spec.tasks &&
