--- a/src/emulator/components.hpp
+++ b/src/emulator/components.hpp
@@ -12,6 +12,7 @@
 inline constexpr double kReport = 3, kLease = 20, kCancel = 30, kGangWait = 25, kGangPeer = 8;
 inline constexpr double kFreeCheckEvery = 0.25;  // of what is free to start; a walk over all machines
 inline constexpr double kUnanswered = 75;        // after which a job counts as forgotten, faults being over
+inline constexpr double kForgotten = 90;         // the same at any time, while most others are answered
 inline std::string node_name(std::size_t i) {
   return "node-" + std::to_string(i);
 }
--- a/src/emulator/history.cpp
+++ b/src/emulator/history.cpp
@@ -29,6 +29,12 @@
   }));
 }
 
+std::size_t SimulatedCluster::unrecorded_ends() const {
+  return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [this](const auto& j) {
+    return j.second->accepted && j.second->over() && !store_.contains(jobs::kFinal + j.first);
+  }));
+}
+
 std::size_t SimulatedCluster::jobs_waiting() const {
   return static_cast<std::size_t>(std::count_if(jobs_.begin(), jobs_.end(), [](const auto& j) {
     const UserJob& job = *j.second;
--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -240,8 +240,22 @@
   return std::max(faults_until_, plan_.fault_every_s > 0 ? plan_.duration_s : 0.0);
 }
 
+void SimulatedCluster::asked() {
+  asked_at_.push_back(t_);
+}
+
 void SimulatedCluster::answered(UserJob& job) {
   job.answered_at = t_;
+  answered_at_.push_back(t_);
+}
+
+// Of the questions within the time after which a job counts as forgotten.
+bool SimulatedCluster::most_are_answered() {
+  for (auto* times : {&asked_at_, &answered_at_}) {
+    while (!times->empty() && times->front() < t_ - kForgotten)
+      times->pop_front();
+  }
+  return 2 * answered_at_.size() > asked_at_.size();
 }
 
 // Faults being over, an accepted job about which nobody gets an answer counts as forgotten.
@@ -252,6 +266,13 @@
   run_report_.longest_unanswered = std::max(run_report_.longest_unanswered, spell);
   if (spell > kUnanswered)
     broke("unanswered", job.spec.ref + ": no answer for " + std::to_string(spell) + " s, all being calm");
+  const double silence = t_ - std::max(job.answered_at, job.accepted_at);
+  if (silence <= run_report_.longest_unanswered_alone || !most_are_answered())
+    return;
+  run_report_.longest_unanswered_alone = silence;
+  if (silence > kForgotten)
+    broke("forgotten",
+          job.spec.ref + ": no answer for " + std::to_string(silence) + " s, others have theirs");
 }
 
 // Whether a sound machine has room for one more task of the job, and its team's limit too.
--- a/src/emulator/simulated_cluster.hpp
+++ b/src/emulator/simulated_cluster.hpp
@@ -99,6 +99,8 @@
   std::size_t told_gone = 0;       // cancellations confirmed
   double longest_beside_room = 0;  // a job's longest wait beside a machine with room for it, all being calm
   double longest_unanswered = 0;   // a job's longest spell without an answered question, faults being over
+  // The same at any time, while most questions were answered.
+  double longest_unanswered_alone = 0;
 };
 
 class SimulatedCluster;
@@ -221,6 +223,8 @@
   std::size_t held_at_home()
       const;                      // of what waits, jobs that the leader may start here; all, without a leader
   std::size_t jobs_over() const;  // accepted arrays, of those not cancelled, whose tasks have all completed
+  std::size_t unrecorded_ends()
+      const;                         // accepted jobs that are over, of which the state service holds no end
   std::size_t jobs_waiting() const;  // accepted arrays that nothing has been begun of
   double over_within(const std::string& job_class, double s, double from, double to) const;
   std::optional<std::size_t> leader() const;  // the node that may give orders now
@@ -348,8 +352,10 @@
   void odd_request();
   void start_anywhere(const UserJob& job);
   void release_reports(std::size_t node);
+  void asked();  // a user's question is sent
   void answered(UserJob& job);
   void check_answered(UserJob& job);
+  bool most_are_answered();
   void check_waiting();
   bool room_beside(const UserJob& job) const;
   void fault_lasts(double for_s);  // a fault that lasts for so long begins now
@@ -422,6 +428,7 @@
   double late_command_share_ = 0, late_commands_until_ = -1;
   std::vector<daemon::Incoming> kept_reports_;
   double cancel_at_end_share_ = 0, cancel_at_end_until_ = -1, odd_until_ = -1, looks_until_ = -1;
+  std::deque<double> asked_at_, answered_at_;  // users' questions, within kForgotten
   double quick_boots_until_ = -1, slow_links_until_ = -1, faults_until_ = 0;
   RunReport run_report_;
 };
--- a/src/emulator/users.cpp
+++ b/src/emulator/users.cpp
@@ -257,11 +257,14 @@
   in.method = "GET";
   in.path = std::string(wire::kJobsPath) + "/" + job.spec.ref;
   // What counts is the order in which the user hears things: an answer given up on is not heard.
-  const double asked = t_;
+  const double asked_at = t_;
+  asked();
   const bool was_over = job.told_done || job.told_cancelled >= 0;
-  send("users", node_name(i), [this, i, in, &job, asked, was_over, how] {
-    deliver(i, in, [this, &job, asked, was_over, how](const ports::Answer& a) {
-      if (t_ - asked > 2 || plan_.sabotage == "questions_unanswered")
+  send("users", node_name(i), [this, i, in, &job, asked_at, was_over, how] {
+    deliver(i, in, [this, &job, asked_at, was_over, how](const ports::Answer& a) {
+      if (t_ - asked_at > 2 || plan_.sabotage == "questions_unanswered")
+        return;
+      if (plan_.sabotage == "one_unanswered" && job.spec.ref == jobs_.begin()->first)
         return;
       if (a.status == 200)
         answered(job);
