Ends are recorded by shares of each transaction; followers go by what is recorded; late cancellations leave no marks

Cause of `forgotten`: strict priority without a bound. A transaction was filled with ends of completed and cancelled jobs, what was left went to jobs whose need is cancelled, then to pages; more ends than can be recorded left nothing. Now kinds of records have weighted shares (jobs/write_shares: start-time fair queueing), the oldest of a kind first, and cancellations and what follows from them have four times their weight once half of `cancel_s` is over.

Cause of `orphaned`: a follower without its leader's answer took it that a leader that could write lately had recorded what follows from a cancellation. Leaders now say how far they have recorded that (frame field ends_behind_s, added), followers go by it, and a new leader's word stands still until all needs that were not live are known.

What fed the backlog: each repeated cancellation that a leader was late with left a mark in the state service, two changes more. A leader that was reached needs none.

New metrics: ends waiting, oldest, recorded and left out by kind; questions put off by why; the leader's token. wingtrail_writes_of_ends_total counts what is committed, no longer what was tried.

--- a/src/daemon/admission.cpp
+++ b/src/daemon/admission.cpp
@@ -306,9 +306,15 @@
   return job.orphan || chains_.undecided(job);
 }
 
+void Node::put_off(const From& from, const std::string& ref, PutOff why) {
+  ++stats_.questions_put_off[static_cast<std::size_t>(why)];
+  spdlog::debug("{}: question put off: {}", ref, name(why));
+  try_later(from, why == PutOff::requests_used_up ? 429 : 503);
+}
+
 void Node::answer_live(const From& from, jobs::Job& job, bool brief) {
   if (may_be_orphan(job))
-    return try_later(from);
+    return put_off(from, job.spec.ref, job.orphan ? PutOff::need_cancelled : PutOff::need_unknown);
   // Its end may be recorded though this node has not heard so yet, and another may have read and told it:
   // what is live here is an older answer then (a slow state service on cub-meterlink-fleet: cancelled, then
   // queued).
@@ -372,30 +378,32 @@
 void Node::answer_fresh(const From& from, const std::string& ref, bool brief, bool cautious) {
   // Questions come again in a few seconds anyway; submissions and cancellations go before them. The leader
   // takes a job that it does not know in.
-  const auto urgency = brief ? store::Urgency::user : store::Urgency::background;
-  // A job that needs a cancelled one is over by its leader's next write. Where no leader has been able to
-  // write for long, that may be overdue, and only the leader knows (seed 100005: an outage of 43 s).
-  // Nor if the leader has just put the question off (seed 1001007: its answers from the state service were
-  // lost, so it could not record the end).
-  const bool overdue = !entitled() && (cautious || out_.now() - leader_able_ > settings_.cancel_s / 2);
+  const auto urgency = brief ? store::Urgency::user : store::Urgency::question;
+  // A job that needs a cancelled one may still have its record here, and only the leader knows. So this node
+  // goes by how far the leader said that it has recorded such ends: that it could write lately is no proof,
+  // since more ends may wait than it can write (called queued for longer than cancel_s while it had just
+  // ended). Nor is the record one if the leader has just put the question off (seed 1001007: its answers from
+  // the state service were lost).
+  const bool overdue = !entitled() && (cautious || out_.now() - ends_settled_at_ > settings_.cancel_s / 2);
   fresh(ref, urgency, entitled() || overdue,
-        [this, from, ref, brief, overdue](int st, std::optional<wire::Phase> phase, const wire::Value& live) {
+        [this, from, ref, brief, overdue, cautious](int st, std::optional<wire::Phase> phase,
+                                                    const wire::Value& live) {
           if (st != 200) {
             if (st == 404)
               return respond(from, 404);
             // That the leader is not there to answer is no fault of who asks.
             const bool alone = !entitled() && !leader_peer();
-            return try_later(from, st == 429 && alone ? 503 : st);
+            return put_off(from, ref, st == 429 && !alone ? PutOff::requests_used_up : PutOff::no_answer);
           }
           if (answer_final(from, ref, brief))
             return;
           if (overdue && !live.is_null() && wire::needs_others(live["spec"]))
-            return try_later(from);
+            return put_off(from, ref, cautious ? PutOff::leader_put_off : PutOff::leader_unheard);
           if (entitled() && !live.is_null())
             found_live(live);
           const jobs::Job* known = entitled() ? registry_.find(ref) : nullptr;
           if (known && may_be_orphan(*known))
-            return try_later(from);
+            return put_off(from, ref, known->orphan ? PutOff::need_cancelled : PutOff::need_unknown);
           respond(from, 200, brief ? wire::job_state(ref, *phase) : wire::job_progress(ref, *phase, 0, 0));
         });
 }
@@ -412,7 +420,7 @@
     // Asked as the leader that it is not: who asks takes the answer for a leader's.
     if (store_.healthy())
       return answer_fresh(from, ref, false, true);
-    return try_later(from);
+    return put_off(from, ref, PutOff::not_leading);
   }
   auto otherwise = [this, from, ref](int status) {
     answer_fresh(from, ref, false, status == 503);
@@ -429,8 +437,14 @@
   if (!entitled()) {
     if (from.by_peer)
       return try_later(from);
-    return hand_on(from, leader_peer(), "POST", path, "", 3.0,
-                   [this, from, ref](int) { leave_intent(from, ref); });
+    const auto leader = leader_peer();
+    return hand_on(from, leader, "POST", path, "", 3.0, [this, from, ref, leader](int status) {
+      // A leader that is only late with it needs no mark: each one cost two changes, and the more
+      // cancellations were late the more of them users repeated.
+      if (status == 503 && peers_[*leader].answers && peers_[*leader].store_ok)
+        return try_later(from);
+      leave_intent(from, ref);
+    });
   }
   auto close = [this, from](jobs::Job& job) {
     cancel(job);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -323,6 +323,24 @@
     served.Add(labels).Set(l.served_share);
     in_a_zone.Add(labels).Set(l.most_in_a_zone);
   }
+  gauge("wingtrail_leader_token", "of the newest leadership that this node knows of",
+        static_cast<double>(s.leader_token));
+  auto& ends_waiting = by("wingtrail_ends_waiting", "ends that are decided and not recorded, by kind");
+  auto& ends_oldest = by("wingtrail_ends_oldest_seconds", "since the oldest of them was decided");
+  auto& ends_recorded = by("wingtrail_ends_recorded", "ends recorded while this node led");
+  auto& ends_no_room = by("wingtrail_ends_no_room", "transactions that had no room for some of them");
+  for (std::size_t kind = 0; kind < s.ends.size(); ++kind) {
+    const prometheus::Labels labels{{"kind", jobs::name(static_cast<jobs::RecordKind>(kind))}};
+    ends_waiting.Add(labels).Set(static_cast<double>(s.ends[kind].waiting));
+    ends_oldest.Add(labels).Set(s.ends[kind].oldest_s);
+    ends_recorded.Add(labels).Set(static_cast<double>(s.ends[kind].recorded));
+    ends_no_room.Add(labels).Set(static_cast<double>(s.ends[kind].no_room_for));
+  }
+  auto& questions = by("wingtrail_questions_put_off", "questions answered with \"come back later\", by why");
+  for (std::size_t why = 0; why < s.questions_put_off.size(); ++why) {
+    questions.Add({{"why", name(static_cast<PutOff>(why))}})
+        .Set(static_cast<double>(s.questions_put_off[why]));
+  }
   auto& put_off = by("wingtrail_put_off", "submissions that were put off since the process began");
   for (const auto& [who, count] : s.put_off_by)
     put_off.Add({{"team", who.first}, {"class", who.second}}).Set(static_cast<double>(count));
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -159,6 +159,8 @@
   s.ends_written = ledger_.writes().ends;
   s.roster_written = ledger_.writes().roster;
   s.progress_written = ledger_.writes().progress;
+  s.ends = ledger_.backlogs();
+  s.leader_token = election_.leader_token();
   s.state_writes = s.ends_written + s.roster_written + s.progress_written;
   s.pages_divided = ledger_.divided();
   s.malformed = ledger_.refused();
@@ -343,6 +345,8 @@
   f.wants_requests = 2 * asked.requests - requests_shared_.floor();
   if (f.admission)
     f.tries = intake_.tries().tell(out_.time_of_day());
+  if (election_.leading() && loaded_)
+    f.ends_behind_s = out_.now() - ends_settled_at_;
   f.answers = entitled() || (election_.leading() && loaded_ && out_.now() < custodian_.until());
   return f;
 }
@@ -403,8 +407,9 @@
   honest_ = std::max(honest_, f.honest);
   if (f.answers && f.node == election_.leader()) {
     leader_seen_ = out_.now();
+    // A version that does not say how far it has come is taken to have recorded all if it can write.
     if (f.store_ok)
-      leader_able_ = out_.now();
+      ends_settled_at_ = std::max(ends_settled_at_, out_.now() - std::max(0.0, f.ends_behind_s));
   }
 }
 
@@ -600,6 +605,7 @@
     if (entitled()) {
       chains_.spread_urgency();
       follow_chains();
+      settle_ends();
       watch_zones();
       fleet_.tick();
       scheduler_.pass();
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -2,6 +2,7 @@
 // actions.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -16,6 +17,7 @@
 #include "cells/planner.hpp"
 #include "cells/stays.hpp"
 #include "custody/custody.hpp"
+#include "daemon/put_off.hpp"
 #include "fleet/fleet.hpp"
 #include "jobs/chains.hpp"
 #include "jobs/ledger.hpp"
@@ -50,6 +52,9 @@
   double state_share = 0, state_asked = 0;  // of its budget: what this node may use, what it asks for
   double agreed_age_s = 0;                  // since the leader last said what this node may use
   std::vector<std::pair<std::pair<std::string, std::string>, std::uint64_t>> put_off_by;  // team, class
+  std::array<std::uint64_t, kPutOffReasons> questions_put_off{};                          // by reason
+  jobs::Ledger::Backlogs ends{};   // to be recorded, by kind
+  std::uint64_t leader_token = 0;  // of the newest leadership known of
   std::uint64_t custody_answers = 0, grants = 0, aborts_put_off = 0, alarms = 0;
   // The picture of the load (spread/picture.hpp), in names.
   struct ClassLoad {
@@ -135,6 +140,8 @@
   void route(const From& from, const std::string& method, const std::string& path, const std::string& body);
   void respond(const From& from, int status, wire::Value body = nullptr, std::optional<int> retry_after = {});
   void try_later(const From& from, int status = 503, Seconds in = 1);
+  // The same of a question about a job, counted by why.
+  void put_off(const From& from, const std::string& ref, PutOff why);
 
   void submit(const From& from, const std::string& bytes);
   struct Creation;
@@ -246,6 +253,7 @@
   void follow_chains();
   void ask_about_needs();
   void ask_about(const std::string& ref);
+  void settle_ends();
   void job_closed(jobs::Job& job);
   void done_if_complete(jobs::Job& job);
 
@@ -330,7 +338,11 @@
   std::uint64_t mark_version_ = 0, mark_reads_ = 0;
   double mark_span_ = 0;
   std::uint64_t honest_ = 0;  // the newest leadership that workers show to have been an honest one
-  Seconds started_at_ = 0, modern_since_ = ports::kNever, leader_seen_ = -1e9, leader_able_ = -1e9;
+  Seconds started_at_ = 0, modern_since_ = ports::kNever, leader_seen_ = -1e9;
+  // Every job that needs one cancelled before then is recorded as cancelled, as far as this node knows.
+  Seconds ends_settled_at_ = -1e9;
+  Seconds loaded_at_ = 0;
+  std::deque<std::pair<Seconds, std::string>> unknown_needs_;  // since when, the oldest first
   std::uint64_t jobs_revision_ = 0;
   struct ZoneLife {
     zones::Life last = zones::Life::sound;  // as last told
--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -270,6 +270,8 @@
   if (silence <= run_report_.longest_unanswered_alone || !most_are_answered())
     return;
   run_report_.longest_unanswered_alone = silence;
+  if (silence > kUnanswered)
+    spdlog::debug("{:.3f} {}: no answer for {:.1f} s, others have theirs", t_, job.spec.ref, silence);
   if (silence > kForgotten)
     broke("forgotten",
           job.spec.ref + ": no answer for " + std::to_string(silence) + " s, others have theirs");
--- a/src/emulator/simulated_cluster.hpp
+++ b/src/emulator/simulated_cluster.hpp
@@ -80,6 +80,7 @@
   std::size_t started_again = 0;    // tasks that had been started before and did not fail
   std::size_t on_sheets = 0;        // jobs whose records came to the state service on sheets
   std::size_t put_off = 0;          // submissions answered 429
+  std::size_t abort_marks = 0;      // that nodes left in the state service for the leader
   double most_writes = 0;           // changes asked for in any five seconds, in terms of the budget
   std::size_t lost_by_lease = 0;    // tasks that sound workers killed when their lease ran out
   std::size_t services_late = 0;  // first starts of services later than two seconds after they were submitted
--- a/src/emulator/state_service.cpp
+++ b/src/emulator/state_service.cpp
@@ -257,6 +257,7 @@
     for (const Value& op : body["apply"]) {
       if (op.contains("put")) {
         const auto key = op["put"].get<std::string>();
+        run_report_.abort_marks += key.ends_with(jobs::kAbortMark);
         if (jobs::is_sheet(key))
           run_report_.on_sheets += op["data"].size();
         store_[key] = {op["data"], revision_, op.contains("permit") ? op["permit"].get<std::uint64_t>() : 0};
--- a/src/jobs/chains.cpp
+++ b/src/jobs/chains.cpp
@@ -48,17 +48,22 @@
   if (job.spec.waits_on.empty() && !by_ref_.contains(job.spec.ref))
     return;
   const N n = node(job.spec.ref, &job);
-  bool lost = false;
+  std::optional<Seconds> lost;  // since when a need is known to be cancelled
+  const auto lose = [&lost](Seconds at) {
+    lost = std::min(lost.value_or(at), at);
+  };
   for (const std::string& ref : job.spec.waits_on) {
     ++visits_;
     if (const auto end = link_.ended(ref)) {
-      lost |= !end->done;
+      if (!end->done)
+        lose(end->at);
       job.since = std::max(job.since, end->at);
       continue;
     }
     const bool known = by_ref_.contains(ref);
     Job* needed = registry_.find(ref);
-    lost |= needed && needed->orphan;
+    if (needed && needed->orphan)
+      lose(needed->orphan_since);
     const N m = node(ref, needed);
     if (!known && !needed)
       unknown_.push_back(ref);
@@ -69,12 +74,12 @@
   }
   changed(n);
   if (lost)
-    orphan(n);
+    orphan(n, *lost);
 }
 
 // The job will never start, and so will none that needs it, directly or through others. All are found at
 // once: closing them one generation after another would take a write's time for each.
-void Chains::orphan(N first) {
+void Chains::orphan(N first, Seconds since) {
   std::vector<N> open{first};
   while (!open.empty()) {
     const N n = open.back();
@@ -84,6 +89,7 @@
     if (!job || job->orphan)
       continue;
     job->orphan = true;
+    job->orphan_since = std::max(since, job->submitted);
     orphans_.push_back(job->ix);
     for (const N m : nodes_[n].needs)
       changed(m);
@@ -103,7 +109,7 @@
     if (!job)
       continue;
     if (!end.done) {
-      orphan(d);
+      orphan(d, end.at);
       continue;
     }
     --job->unmet;
--- a/src/jobs/chains.hpp
+++ b/src/jobs/chains.hpp
@@ -64,7 +64,7 @@
   };
   N node(const std::string& ref, Job* job);
   void release(N n);
-  void orphan(N n);
+  void orphan(N n, Seconds since);
   void changed(N n);
 
   Registry& registry_;
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -20,6 +20,8 @@
 constexpr int kSweeps = 4;          // at a time
 constexpr int kCloseOps = 3;        // final state, job and cancellation mark go together
 constexpr std::size_t kMaxPages = 100'000;
+constexpr Seconds kRounding = 1e-6;
+constexpr double kPressingAfter = 0.5;  // of the time in which a cancelled job's tasks must be gone
 
 std::string page_key(const char* prefix, std::size_t page) {
   return prefix + std::to_string(page);
@@ -54,8 +56,11 @@
 void Ledger::end() {
   active_ = in_flight_ = armed_ = false;
   ++term_;
-  closes_.clear();
-  orphans_.clear();
+  for (auto& queue : ends_)
+    queue.clear();
+  for (auto& since : unrecorded_since_)
+    since.clear();
+  shares_ = {};
   sheets_.clear();
   sweeps_.clear();
   unfolds_.clear();
@@ -198,22 +203,44 @@
     close_waiters_[job.ix].push_back(std::move(then));
   if (job.closing)
     return;  // the first final state wins; nobody has been told of any yet
-  job.closing = true;
-  job.final_phase = phase;
-  // A cancellation goes first: its user waits for it with a connection open, and it frees room.
-  phase == wire::Phase::cancelled ? closes_.push_front(job.ix) : closes_.push_back(job.ix);
-  arm(0);
+  decide_end(job, phase, phase == wire::Phase::cancelled ? RecordKind::cancelled : RecordKind::completed,
+             out_.now());
 }
 
 void Ledger::close_orphan(Job& job) {
-  if (job.closing)
-    return;
+  if (!job.closing)
+    decide_end(job, wire::Phase::cancelled, RecordKind::orphaned, job.orphan_since);
+}
+
+void Ledger::decide_end(Job& job, wire::Phase phase, RecordKind kind, Seconds since) {
   job.closing = true;
-  job.final_phase = wire::Phase::cancelled;
-  orphans_.push_back(job.ix);
+  job.final_phase = phase;
+  job.end_kind = kind;
+  job.closing_since = job.record_from = since;
+  unrecorded_since_[index(kind)].insert(job.closing_since);
+  queue_end(job);
   arm(0);
 }
 
+void Ledger::queue_end(const Job& job) {
+  ends_[index(job.end_kind)].emplace(job.record_from, job.ix);
+}
+
+std::optional<Seconds> Ledger::oldest_unrecorded(RecordKind kind) const {
+  const auto& since = unrecorded_since_[index(kind)];
+  return since.empty() ? std::nullopt : std::optional(*since.begin());
+}
+
+Ledger::Backlogs Ledger::backlogs() const {
+  Backlogs all;
+  for (std::size_t kind = 0; kind < kEndKinds; ++kind) {
+    const auto oldest = oldest_unrecorded(static_cast<RecordKind>(kind));
+    all[kind] = {unrecorded_since_[kind].size(), oldest ? out_.now() - *oldest : 0, recorded_[kind],
+                 no_room_for_[kind]};
+  }
+  return all;
+}
+
 void Ledger::progress(Job& job, std::uint32_t task, Ix machine, std::uint64_t attempt) {
   const Chunk chunk{job.ix, codec_.chunk_of(task)};
   awaiting_[chunk].push_back({machine, task, attempt});
@@ -263,22 +290,99 @@
   });
 }
 
-void Ledger::add_closes(wire::Txn& txn, Commit& c, int& room, std::deque<Ix>& from) {
-  while (!from.empty()) {
-    const Job& job = *registry_.at(from.front());
-    const int ops = 1 + job.own_key + job.intent;
-    if (ops > room)
-      return;
-    room -= ops;
-    txn.put(kFinal + job.spec.ref, wire::ended_record({job.final_phase, job.spec.tasks, out_.time_of_day()}));
-    // Of a job on a sheet there may be a key of its own that has not been seen here: another node's, for a
-    // retry. Left there it would make the job live again for the next leader, so its absence is demanded.
-    job.own_key ? txn.erase(kLive + job.spec.ref) : txn.require(kLive + job.spec.ref, 0);
-    if (job.intent)
-      txn.erase(kLive + job.spec.ref + kAbortMark);
-    c.closes.push_back(job.ix);
-    from.pop_front();
+// Its final state, the key that it has of its own, and its cancellation mark go together.
+int Ledger::ops_of_end(const Job& job) {
+  return 1 + job.own_key + job.intent;
+}
+
+void Ledger::add_end(wire::Txn& txn, Commit& c, Job& job) {
+  txn.put(kFinal + job.spec.ref, wire::ended_record({job.final_phase, job.spec.tasks, out_.time_of_day()}));
+  // Of a job on a sheet there may be a key of its own that has not been seen here: another node's, for a
+  // retry. Left there it would make the job live again for the next leader, so its absence is demanded.
+  job.own_key ? txn.erase(kLive + job.spec.ref) : txn.require(kLive + job.spec.ref, 0);
+  if (job.intent)
+    txn.erase(kLive + job.spec.ref + kAbortMark);
+  c.closes.push_back(job.ix);
+}
+
+// Each kind has its share of the changes. With ends of one kind first and the others given what is left,
+// these got nothing for as long as the first kind kept coming: jobs whose need was cancelled were heard of no
+// more.
+Ledger::PageRoom Ledger::add_by_shares(wire::Txn& txn, Commit& c) {
+  PageRoom room{0, 0, most_ops_};
+  int machines = roster_pages_due(), progress = progress_pages_due();
+  while (room.rest > 0) {
+    WriteShares::Waiting waiting{};
+    for (std::size_t kind = 0; kind < kEndKinds; ++kind)
+      waiting[kind] = !ends_[kind].empty();
+    waiting[index(RecordKind::machines)] = machines > room.machines;
+    waiting[index(RecordKind::progress)] = progress > room.progress;
+    const auto kind = shares_.next(waiting);
+    if (!kind)
+      break;
+    int ops = 1;
+    if (*kind == RecordKind::machines) {
+      ++room.machines;
+    } else if (*kind == RecordKind::progress) {
+      ++room.progress;
+    } else {
+      auto& queue = ends_[index(*kind)];
+      Job& job = *registry_.at(queue.begin()->second);
+      ops = ops_of_end(job);
+      if (ops > room.rest)
+        break;  // it goes first the next time
+      queue.erase(queue.begin());
+      add_end(txn, c, job);
+    }
+    room.rest -= ops;
+    shares_.charge(*kind, ops, pressing(*kind));
   }
+  return room;
+}
+
+// Cancelled jobs, and those that need one, have to be told so within a limit; the others may be late.
+bool Ledger::pressing(RecordKind kind) const {
+  if (kind != RecordKind::cancelled && kind != RecordKind::orphaned)
+    return false;
+  const auto oldest = oldest_unrecorded(kind);
+  return oldest && out_.now() - *oldest > kPressingAfter * settings_.cancel_s;
+}
+
+void Ledger::see_left_out(Commit& c) const {
+  for (std::size_t kind = 0; kind < kEndKinds; ++kind)
+    c.left_out[kind] = !ends_[kind].empty();
+}
+
+void Ledger::count_left_out(const Commit& c) {
+  for (std::size_t kind = 0; kind < kEndKinds; ++kind)
+    no_room_for_[kind] += c.left_out[kind];
+}
+
+// When the page is to be written, as far as that depends on nothing but itself.
+Seconds Ledger::roster_page_due(std::size_t n) const {
+  const auto& page = roster_[n];
+  if (page.due == Due::now)
+    return page.since;
+  if (page.due == Due::soon)
+    return page.since + kSoon;
+  return std::max(page.since + kInPassing, passed_at_ + kPassingEvery);
+}
+
+Seconds Ledger::progress_page_due(std::size_t n) const {
+  return progress_[n].since + settings_.tunables.progress_flush_s;
+}
+
+int Ledger::roster_pages_due() const {
+  return static_cast<int>(std::count_if(roster_.due().begin(), roster_.due().end(), [this](std::size_t n) {
+    return roster_[n].due >= Due::soon && roster_.may_be_written(n) && roster_page_due(n) <= out_.now();
+  }));
+}
+
+int Ledger::progress_pages_due() const {
+  return static_cast<int>(
+      std::count_if(progress_.due().begin(), progress_.due().end(), [this](std::size_t n) {
+        return progress_.may_be_written(n) && progress_page_due(n) <= out_.now() + kRounding;
+      }));
 }
 
 void Ledger::add_roster(wire::Txn& txn, Commit& c, int& room, std::size_t& bytes, Due least) {
@@ -287,14 +391,8 @@
       return;
     const auto& page = roster_[n];
     const Due due = page.due;
-    if (due < least || out_.now() < page.since)
-      continue;
-    if (due == Due::soon && out_.now() < page.since + kSoon)
-      continue;
-    if (due == Due::in_passing &&
-        (out_.now() < page.since + kInPassing || out_.now() < passed_at_ + kPassingEvery)) {
+    if (due < least || out_.now() < roster_page_due(n))
       continue;
-    }
     auto value = writable(roster_, n, roster_bytes(), [this](std::size_t p) { return roster_value(p); });
     if (!value)
       continue;
@@ -323,7 +421,7 @@
     if (room <= 0 || bytes >= kMaxBytes)
       return;
     const auto& page = progress_[n];
-    if (out_.now() < page.since + settings_.tunables.progress_flush_s - 1e-6)
+    if (out_.now() + kRounding < progress_page_due(n))
       continue;
     auto value = writable(progress_, n, page_bytes_, [this](std::size_t p) { return progress_value(p); });
     if (!value)
@@ -408,14 +506,15 @@
   wire::Txn txn;
   txn.require(link_.leader_key, link_.token());
   Commit c;
-  int room = most_ops_;
+  c.shares_before = shares_;
   std::size_t bytes = 0;
-  // In the order in which people wait: final states, machines about to work, progress, the rest.
-  add_closes(txn, c, room, closes_);
-  add_closes(txn, c, room, orphans_);
-  writes_.ends += static_cast<std::uint64_t>(txn.ops());
-  add_roster(txn, c, room, bytes, Due::now);
-  const bool user = txn.ops() > 0;
+  const PageRoom shared = add_by_shares(txn, c);
+  // What the kinds with shares leave is for whatever else is due.
+  int room = shared.machines + shared.rest;
+  add_roster(txn, c, room, bytes, Due::soon);
+  const bool user =
+      !c.closes.empty() || std::find(c.was_due.begin(), c.was_due.end(), Due::now) != c.was_due.end();
+  room += shared.progress;
   add_progress(txn, c, room, bytes);
   add_roster(txn, c, room, bytes, Due::in_passing);
   if (txn.ops() > 0 || out_.now() >= swept_at_ + kSweepEvery) {
@@ -427,6 +526,7 @@
   if (txn.ops() == 0)
     return rearm();
   in_flight_ = true;
+  see_left_out(c);
   const int ops = txn.ops();
   std::vector<Ix> first;
   for (const Ix ix : c.closes) {
@@ -439,10 +539,10 @@
         if (term != term_)
           return;
         in_flight_ = false;
-        if (!r.delivered) {
-          for (const Ix ix : first)
-            registry_.at(ix)->end_sent = false;
-        }
+        if (r.delivered)
+          count_left_out(c);
+        for (const Ix ix : first)
+          registry_.at(ix)->end_sent = r.delivered;
         if (r.status == 200)
           return committed(c, wire::revision(r.body).value_or(0));
         if (r.status == 409 && !beaten(r.body, c))
@@ -456,24 +556,17 @@
 // When the next page is due.
 void Ledger::rearm() {
   Seconds at = ports::kNever;
-  if (!closes_.empty() || !orphans_.empty())
+  if (std::any_of(ends_.begin(), ends_.end(), [](const auto& queue) { return !queue.empty(); }))
     at = out_.now();
   if (!sweeps_.empty() || !unfolds_.empty())
     at = std::min(at, std::max(out_.now(), swept_at_ + kSweepEvery));
   for (const std::size_t n : progress_.due()) {
     if (progress_.may_be_written(n))
-      at = std::min(at, progress_[n].since + settings_.tunables.progress_flush_s);
+      at = std::min(at, progress_page_due(n));
   }
   for (const std::size_t n : roster_.due()) {
-    const auto& p = roster_[n];
-    if (!roster_.may_be_written(n))
-      continue;
-    if (p.due == Due::now)
-      at = std::min(at, p.since);
-    if (p.due == Due::soon)
-      at = std::min(at, p.since + kSoon);
-    if (p.due == Due::in_passing)
-      at = std::min(at, std::max(p.since + kInPassing, passed_at_ + kPassingEvery));
+    if (roster_.may_be_written(n))
+      at = std::min(at, roster_page_due(n));
   }
   // Never at once: a sum that is rounded down would come up again and again within the same instant.
   if (at != ports::kNever)
@@ -531,9 +624,9 @@
 
 // Everything here may be applied twice without harm, so what is uncertain is simply written again.
 void Ledger::failed(Commit& c) {
-  for (auto it = c.closes.rbegin(); it != c.closes.rend(); ++it) {
-    (registry_.at(*it)->orphan ? orphans_ : closes_).push_front(*it);
-  }
+  shares_ = c.shares_before;
+  for (const Ix ix : c.closes)
+    queue_end(*registry_.at(ix));
   for (auto& [n, covers] : c.progress) {
     for (auto& [chunk, ended] : covers)
       awaiting_[chunk].push_back(ended);
@@ -569,10 +662,11 @@
   for (const auto& [n, joined] : c.roster)
     smaller(roster_, n, [this](auto p) { return roster_value(p); });
   for (const Ix ix : c.closes) {
-    spdlog::error("{}: its end cannot be recorded", registry_.at(ix)->spec.ref);
-    auto& queue = registry_.at(ix)->orphan ? orphans_ : closes_;
-    queue.pop_front();
-    queue.push_back(ix);
+    Job& job = *registry_.at(ix);
+    spdlog::error("{}: its end cannot be recorded", job.spec.ref);
+    ends_[index(job.end_kind)].erase({job.record_from, ix});
+    job.record_from = out_.now();
+    queue_end(job);
   }
 }
 
@@ -582,6 +676,10 @@
   for (const Ix ix : c.closes) {
     Job* job = registry_.at(ix);
     job->closed = true;
+    const std::size_t kind = index(job->end_kind);
+    unrecorded_since_[kind].extract(job->closing_since);
+    ++recorded_[kind];
+    writes_.ends += static_cast<std::uint64_t>(ops_of_end(*job));
     sheets_.over(ix);
     std::vector<Ended> ended;
     for (std::uint32_t n = 0; n < codec_.chunks(*job); ++n) {
--- a/src/jobs/ledger.hpp
+++ b/src/jobs/ledger.hpp
@@ -7,9 +7,11 @@
 // counts writes: p/N the completed tasks of some jobs, r/N some machines that may hold tasks.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +20,7 @@
 #include "jobs/progress.hpp"
 #include "jobs/registry.hpp"
 #include "jobs/sheets.hpp"
+#include "jobs/write_shares.hpp"
 #include "store/client.hpp"
 
 namespace wingtrail::jobs {
@@ -65,8 +68,7 @@
 
   // Persist the job's final state; `then` runs when that is certain. More than one may wait for it.
   void close(Job& job, wire::Phase phase, std::function<void()> then);
-  // The same for one that can never start, since a job that it needs is cancelled; those that users wait for
-  // go first.
+  // The same for one that can never start, since a job that it needs is cancelled.
   void close_orphan(Job& job);
   void progress(Job& job, std::uint32_t task, Ix machine, std::uint64_t attempt);  // a task was completed
   void enlist(Ix machine);
@@ -106,9 +108,17 @@
   std::uint64_t looked_up() const {
     return looked_up_;
   }  // pages that a write without an answer had changed
-  std::size_t open_closes() const {
-    return closes_.size() + orphans_.size();
-  }
+  // Ends of one kind that are decided and not recorded.
+  struct Backlog {
+    std::size_t waiting = 0;
+    Seconds oldest_s = 0;
+    std::uint64_t recorded = 0;     // so far
+    std::uint64_t no_room_for = 0;  // transactions that had to leave some of them out
+  };
+  using Backlogs = std::array<Backlog, kEndKinds>;
+  Backlogs backlogs() const;
+  // Since when the oldest end of that kind has been decided; nothing: all are recorded.
+  std::optional<Seconds> oldest_unrecorded(RecordKind kind) const;
 
  private:
   using Chunk = std::pair<Ix, std::uint32_t>;  // job, chunk
@@ -120,6 +130,8 @@
     std::vector<Due> was_due;                                     // the roster's pages
     std::vector<std::string> swept;
     std::vector<Ix> unfolded;
+    WriteShares shares_before;
+    std::array<bool, kEndKinds> left_out{};  // kinds of ends that it had no room for some of
     std::size_t records() const {
       return closes.size() + progress.size() + roster.size() + swept.size() + unfolded.size();
     }
@@ -140,7 +152,22 @@
   std::optional<wire::Value> writable(Pages<Entry>& pages, std::size_t n, std::size_t limit, Encode encode);
   void arm(Seconds delay);
   void flush();
-  void add_closes(wire::Txn& txn, Commit& c, int& room, std::deque<Ix>& from);
+  void decide_end(Job& job, wire::Phase phase, RecordKind kind, Seconds since);
+  void queue_end(const Job& job);
+  static int ops_of_end(const Job& job);
+  void add_end(wire::Txn& txn, Commit& c, Job& job);
+  // What of a transaction's changes is for pages, and which ends go into it.
+  struct PageRoom {
+    int machines = 0, progress = 0, rest = 0;
+  };
+  PageRoom add_by_shares(wire::Txn& txn, Commit& c);
+  bool pressing(RecordKind kind) const;
+  void count_left_out(const Commit& c);
+  void see_left_out(Commit& c) const;
+  Seconds roster_page_due(std::size_t n) const;
+  Seconds progress_page_due(std::size_t n) const;
+  int roster_pages_due() const;
+  int progress_pages_due() const;
   void add_roster(wire::Txn& txn, Commit& c, int& room, std::size_t& bytes, Due least);
   void add_progress(wire::Txn& txn, Commit& c, int& room, std::size_t& bytes);
   void add_sweeps(wire::Txn& txn, Commit& c, int& room);
@@ -161,7 +188,12 @@
   ProgressCodec codec_;
   std::size_t page_bytes_;  // that a page may have; less once the state service has refused one
   int most_ops_;            // in a transaction; the same
-  std::deque<Ix> closes_, orphans_;
+  // Ends to be recorded, by kind: the next one first.
+  std::array<std::set<std::pair<Seconds, Ix>>, kEndKinds> ends_;
+  // When those that are not recorded were decided, also of those that a transaction under way holds.
+  std::array<std::multiset<Seconds>, kEndKinds> unrecorded_since_;
+  std::array<std::uint64_t, kEndKinds> recorded_{}, no_room_for_{};
+  WriteShares shares_;
   Sheets sheets_;
   std::deque<std::string> sweeps_;
   std::deque<Ix> unfolds_;
--- a/src/jobs/registry.hpp
+++ b/src/jobs/registry.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jobs/write_shares.hpp"
 #include "ports/outbox.hpp"
 #include "settings/settings.hpp"
 #include "wire/messages.hpp"
@@ -65,6 +66,7 @@
   // Set by Chains. A job that waits for others has no part in anything but their ends.
   std::uint32_t unmet = 0;    // jobs that it needs and that are not known to be done
   bool orphan = false;        // one of them is cancelled
+  Seconds orphan_since = 0;   // since then, or since it came if that was later
   bool away = false;          // another cell holds it, or may (cells/stays.hpp): nothing of it starts here
   std::uint64_t been = 0;     // cells that it was handed on to, a bit each: it is over there
   bool going = false;         // it would begin sooner there, and goes once there is room: not begun here
@@ -81,6 +83,9 @@
   bool end_sent = false;               // so it may have been, for all that is known here
   bool intent = false;                 // there is a record that its user wants it cancelled
   wire::Phase final_phase = wire::Phase::queued;
+  RecordKind end_kind = RecordKind::completed;  // while it is closing
+  Seconds closing_since = 0;                    // when its end was decided
+  Seconds record_from = 0;                      // its place among ends of its kind: the earlier go first
   // A task that fails where others succeed points at its machine; one that fails everywhere, at the job.
   std::vector<Ix> failed_on;
   std::uint32_t errors = 0;
--- /dev/null
+++ b/src/jobs/write_shares.cpp
@@ -0,0 +1,38 @@
+#include "jobs/write_shares.hpp"
+
+#include <algorithm>
+
+namespace wingtrail::jobs {
+namespace {
+// Cancellations have a time limit, and so has what nobody can answer about; the others may be late.
+constexpr std::array<double, kRecordKinds> kWeights{2, 2, 1, 1, 1};
+constexpr double kPressing = 4;  // times the weight
+}  // namespace
+
+const char* name(RecordKind kind) {
+  constexpr std::array<const char*, kRecordKinds> kNames{"cancelled", "orphaned", "completed", "machines",
+                                                         "progress"};
+  return kNames[index(kind)];
+}
+
+double WriteShares::start(std::size_t kind) const {
+  return std::max(virtual_time_, finish_[kind]);
+}
+
+std::optional<RecordKind> WriteShares::next(const Waiting& waiting) const {
+  std::optional<std::size_t> first;
+  for (std::size_t kind = 0; kind < kRecordKinds; ++kind) {
+    if (waiting[kind] && (!first || start(kind) < start(*first)))
+      first = kind;
+  }
+  return first ? std::optional(static_cast<RecordKind>(*first)) : std::nullopt;
+}
+
+void WriteShares::charge(RecordKind kind, int changes, bool pressing) {
+  const std::size_t k = index(kind);
+  const double weight = kWeights[k] * (pressing ? kPressing : 1);
+  virtual_time_ = start(k);
+  finish_[k] = virtual_time_ + changes / weight;
+}
+
+}  // namespace wingtrail::jobs
--- a/src/peer/frame.hpp
+++ b/src/peer/frame.hpp
@@ -50,9 +50,13 @@
   std::string cell;     // between cells: the one that the sender belongs to; empty: between peers of one cell
   std::string between;  // and what it says (peer/between.hpp)
   bool relayed = false;  // handed on to the leader of the cell that it is said to
+  // The sender leads, and has recorded every end that follows from a cancellation older than this; negative:
+  // it does not say.
+  double ends_behind_s = -1;
   MSGPACK_DEFINE_MAP(node, token, leader, store_ok, bounced, method, path, body, status, retry_after_s, level,
                      age_s, held_s, modern_s, answers, grant, span_s, grant_s, consent, newest, honest,
-                     admission, wants, wants_requests, lends, lends_requests, tries, cell, between, relayed)
+                     admission, wants, wants_requests, lends, lends_requests, tries, cell, between, relayed,
+                     ends_behind_s)
 };
 
 std::string encode(const Frame& frame);
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -78,7 +78,9 @@
 }
 
 double Client::request_floor(Urgency urgency) {
-  return urgency == Urgency::background ? 0.3 : urgency == Urgency::admission ? 0.15 : 0.05;
+  return urgency == Urgency::background || urgency == Urgency::question ? 0.3
+         : urgency == Urgency::admission                                ? 0.15
+                                                                        : 0.05;
 }
 
 // Ends and orders come before admissions, admissions before what only a later leader needs. Without shares,
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -14,7 +14,7 @@
 using ports::Seconds;
 
 // Who may dip how deep into the budget: a lease always passes, people come before housekeeping.
-enum class Urgency : std::uint8_t { lease, user, admission, background };
+enum class Urgency : std::uint8_t { lease, user, admission, question, background };
 
 class Bucket {
  public:
