Questions have a fifth of a node's requests to the state service, however many submissions come

Cause: a question got a request only if submissions left 0.3 of a second's budget, which they never did while more of them came than could be served. After a take-over nobody remembers earlier ends, so each question about such a job needs requests: some twenty in a row were put off at every node, for more than 90 s, long after the end was recorded.

Now questions have 0.2 of a node's requests in any case, work-conserving: what they don't use is the others', what they use is missing for the others. A write that is held back for want of changes no longer costs a request.

--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -11,6 +11,7 @@
 // budget of 21 changes a second (cub-meterlink-next) one in fifty waited for more than a second otherwise.
 constexpr double kLeastBurst = 4;
 constexpr double kForAdmission = 0.1;  // of a node's changes, what nothing else may use
+constexpr double kForQuestions = 0.2;  // of a node's requests, what questions have in any case
 }  // namespace
 
 void Bucket::refill(Seconds now) {
@@ -46,6 +47,14 @@
   requests_bucket_.whole(kLeastBurst);
   writes_bucket_.whole(kLeastBurst);
   admission_bucket_.whole(1);
+  question_bucket_.whole(1);
+}
+
+void Client::configure(double requests, double writes, double writes_for_admission) {
+  requests_bucket_.configure(requests);
+  question_bucket_.configure(requests * kForQuestions);
+  writes_bucket_.configure(writes);
+  admission_bucket_.configure(writes_for_admission);
 }
 
 void Client::reckon(double requests, double writes) {
@@ -58,10 +67,22 @@
   const Parts parts = share_();
   overdraws_ = parts.fixed;
   const double writes_rate = settings_.state_write_rps * parts.writes * kUsed;
-  requests_bucket_.configure(settings_.state_rps * parts.requests * kUsed);
   const double apart = parts.fixed ? 0 : kForAdmission;
-  writes_bucket_.configure(writes_rate * (1 - apart));
-  admission_bucket_.configure(writes_rate * apart);
+  configure(settings_.state_rps * parts.requests * kUsed, writes_rate * (1 - apart), writes_rate * apart);
+}
+
+bool Client::may_request(Seconds now, Urgency urgency) const {
+  return requests_bucket_.until(now, 1, request_floor(urgency)) <= 0 ||
+         (urgency == Urgency::question && question_bucket_.until(now, 1, 0) <= 0);
+}
+
+// Questions take what submissions leave, and have a part in any case, which then is missing for the others:
+// with none, users asked for minutes about a job that had long been over, while submissions kept coming.
+void Client::take_request(Seconds now, Urgency urgency) {
+  if (requests_bucket_.take(now, 1, request_floor(urgency)))
+    return;
+  question_bucket_.force(now, 1);
+  requests_bucket_.force(now, 1);
 }
 
 // Admissions take what ends and orders leave, and have a little of their own: a leader that records ends for
@@ -104,8 +125,7 @@
   if (share_)
     return;
   const double part = fixed_part(leading, settings_.peers.size());
-  requests_bucket_.configure(settings_.state_rps * part * kUsed);
-  writes_bucket_.configure(settings_.state_write_rps * part * kUsed);
+  configure(settings_.state_rps * part * kUsed, settings_.state_write_rps * part * kUsed, 0);
 }
 
 void Client::send(std::string method, std::string path, wire::Value body, double writes, Urgency urgency,
@@ -116,13 +136,14 @@
     requests_bucket_.force(now, 1);
     writes_bucket_.force(now, writes);
   } else {
-    if (!requests_bucket_.take(now, 1, request_floor(urgency)) || !take_writes(now, writes, urgency)) {
+    if (!may_request(now, urgency) || !take_writes(now, writes, urgency)) {
       ++refused_;
       Reply refusal;
       refusal.status = 429;
       refusal.delivered = false;
       return then(refusal);
     }
+    take_request(now, urgency);
   }
   ++requests_;
   ports::Call call;
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -111,6 +111,9 @@
   static constexpr int kWatchMs = 10'000;
   static constexpr Seconds kAskedOver = 2;
   static double request_floor(Urgency urgency);
+  void configure(double requests, double writes, double writes_for_admission);
+  bool may_request(Seconds now, Urgency urgency) const;
+  void take_request(Seconds now, Urgency urgency);
   double write_floor(Urgency urgency) const;
   void reckon(double requests, double writes);
   bool take_writes(Seconds now, double writes, Urgency urgency);
@@ -122,6 +125,7 @@
   std::function<Parts()> share_;
   bool overdraws_ = true;
   Bucket requests_bucket_, writes_bucket_, admission_bucket_;
+  Bucket question_bucket_;  // requests that questions may make though others leave them none
   Seconds last_ok_ = -kHealthy;
   Seconds mean_s_ = 0.01, spread_s_ = 0.005;  // of answers, watches left out
   std::uint64_t requests_ = 0, refused_ = 0;
