--- a/src/daemon/leading.cpp
+++ b/src/daemon/leading.cpp
@@ -128,9 +128,11 @@
 void Node::loaded() {
   loaded_ = true;
   loaded_at_ = out_.now();
+  late_ends_ = {};
   last_report_ = 0;
   reach_since_ = out_.now();
-  spdlog::info("loaded {} jobs and {} machines", registry_.live(), agents_.all().size());
+  spdlog::info("loaded {} jobs and {} machines as of revision {} under token {}", registry_.live(),
+               agents_.all().size(), jobs_revision_, election_.token());
   fleet_.begin();
   agents_.tick();
   load_away();
@@ -363,24 +365,6 @@
   ask_about_needs();
 }
 
-// What the others may rely on when this leader does not answer them: up to when all that follows from
-// cancellations is recorded. It stands still after a take-over until every need is known that was not live,
-// and goes no further than the oldest end that waits to be recorded, however many wait before it.
-void Node::settle_ends() {
-  while (!unknown_needs_.empty() && !chains_.asks_for(unknown_needs_.front().second))
-    unknown_needs_.pop_front();
-  Seconds settled_at = out_.now();
-  if (!unknown_needs_.empty()) {
-    settled_at = unknown_needs_.front().first;
-    if (settled_at <= loaded_at_)
-      return;
-  }
-  // One that its user cancelled too may be recorded as that.
-  for (const auto kind : {jobs::RecordKind::orphaned, jobs::RecordKind::cancelled})
-    settled_at = std::min(settled_at, ledger_.oldest_unrecorded(kind).value_or(settled_at));
-  ends_settled_at_ = settled_at;
-}
-
 void Node::ask_about_needs() {
   constexpr int kAtOnce =
       8;  // a take-over may have hundreds to ask about, and others need the state service too
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -606,6 +606,7 @@
       chains_.spread_urgency();
       follow_chains();
       settle_ends();
+      tell_late_ends();
       watch_zones();
       fleet_.tick();
       scheduler_.pass();
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -254,6 +254,7 @@
   void ask_about_needs();
   void ask_about(const std::string& ref);
   void settle_ends();
+  void tell_late_ends();
   void job_closed(jobs::Job& job);
   void done_if_complete(jobs::Job& job);
 
@@ -342,6 +343,12 @@
   // Every job that needs one cancelled before then is recorded as cancelled, as far as this node knows.
   Seconds ends_settled_at_ = -1e9;
   Seconds loaded_at_ = 0;
+  struct LateEnds {  // as last told
+    std::optional<Seconds> since;
+    Seconds longest = 0;
+    std::uint64_t recorded = 0;
+  };
+  LateEnds late_ends_;
   std::deque<std::pair<Seconds, std::string>> unknown_needs_;  // since when, the oldest first
   std::uint64_t jobs_revision_ = 0;
   struct ZoneLife {
