Event loop: controllers, users and workers take turns, so that a query does not wait behind all heartbeats

Cause: coroutines were resumed in the order in which their sockets became ready. The leader handled 1,250 heartbeats a second then; its ten-second log lines came 0.2 s late, its status frames late enough that both followers took it for unreachable ("no_answer" for a query throttled without a reachable leader). A query forwarded with a timeout of 0.7 s stood behind up to 3,700 workers' connections.

A connection that sends a heartbeat is a worker's; its request waits for the workers' turn.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -15,6 +15,11 @@
 using ports::Seconds;
 namespace {
 
+// Workers are many and send heartbeats all the time; users, health checks and operators are interactive.
+net::Priority client_priority(const net::Request& request) {
+  return request.target == wire::kHeartbeatPath ? net::Priority::bulk : net::Priority::interactive;
+}
+
 // Exceeds the total time of all the calls that the controller makes, one after another, to answer a request.
 constexpr Seconds kAnswerTimeoutS = 8;
 // Range reads and watch replies of the state service may be larger than other messages.
@@ -63,7 +68,8 @@
       controller_(settings_, random_seed()),
       client_(scope_, connection_limit(settings_, kCallShare, 16), kMaxReplyBytes),
       client_server_(scope_, settings_.client_listen.host, settings_.client_listen.port,
-                     client_limits(settings_), [this](net::Request r) { return serve_client(std::move(r)); }),
+                     client_limits(settings_), [this](net::Request r) { return serve_client(std::move(r)); },
+                     client_priority),
       peer_server_(scope_, settings_.peer_listen.host, settings_.peer_listen.port, peer_limits(settings_),
                    [this](net::Request r) { return serve_peer(std::move(r)); }) {}
 
@@ -155,7 +161,8 @@
   const bool to_worker = call.target == ports::Target::worker;
   net::CallResult outcome =
       co_await client_.call(endpoint.host, endpoint.port, std::move(request), std::move(content_type),
-                            loop_.now() + call.timeout_s, call.not_after);
+                            loop_.now() + call.timeout_s, call.not_after,
+                            to_worker ? net::Priority::bulk : net::Priority::control);
   if (scope_.cancelled())
     co_return;
   ports::Reply reply;
