Queries: many jobs in one comparison, the longest unanswered first, when the leader does not answer in time

What callers saw: queries of accepted jobs got 429 and 503 at both followers for as long as the leader was late, however healthy it was.

Cause: a query that the leader did not answer within 0.7 s cost a follower one to three requests to the state service, out of a part that allows a few dozen a second. What the budget did not allow was refused at once and repeated 5 s later, so which jobs were answered was left to chance. Forwarded queries had no limit among the leader's connections for controllers either, which its peers' status frames need.

Now a lookup for a query waits for the budget until its user has left, the longest unanswered job first, and one transaction compares as many jobs as its conditions allow (24 with txn_ops 12). A follower forwards at most half of its part of the leader's connections for controllers; further queries go to the state service at once. What may be answered is unchanged: each job gets the result of its own keys, 404 only after the batches are known.

Evidence: UnansweredQueries.* on the simulated cluster, whose leader can now be healthy and late.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -60,6 +60,7 @@
                [this](const std::string& ref, const wire::FinalState& state) {
                  on_final_state(ref, state);
                }}),
+      query_lookups_(out_, store_, settings_, batches_, lookup_),
       final_state_query_(out_, store_, settings_,
                          {[this] { return term_; },
                           [this] {
@@ -126,7 +127,7 @@
                    }}),
       queries_(
           {out_, store_, settings_, final_states_, registry_, dependencies_, remote_placements_, lookup_,
-           peer_calls_, responder_},
+           query_lookups_, peer_calls_, responder_},
           {[this] { return is_active_leader(); }, [this](const LiveRecord& live) { on_live_job_read(live); },
            [this] {
              return final_states_recorded_until_;
@@ -389,6 +390,7 @@
       heartbeats_.check_reachability();
     }
   }
+  queries_.update();
   overload_.update(out_.now(), creation_queue_, budget_share().writes);
   out_.after(kTickInterval, [this] { run_periodic_tasks(); });
 }
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -88,6 +88,14 @@
   std::uint64_t jobs_cancelled = 0;
   std::uint64_t cancellations_deferred = 0;  ///< because a task is on an unreachable machine
   std::array<std::uint64_t, kDeferralReasonCount> queries_deferred{};  ///< by reason
+  std::uint64_t queries_not_forwarded = 0;  ///< because too many others were waiting for the leader
+  std::size_t unanswered_jobs = 0;          ///< jobs without an answer since a deferred query
+  double longest_unanswered_s = 0;
+  std::uint64_t overdue_jobs = 0;     ///< unanswered for too long while the state service replied
+  std::size_t lookups_waiting = 0;    ///< lookups for queries that wait for the request budget
+  std::uint64_t lookups_expired = 0;  ///< given up before the request budget allowed them
+  std::uint64_t comparisons = 0;      ///< requests that compare the keys of queried jobs
+  std::uint64_t jobs_compared = 0;    ///< jobs in these requests
 
   // Leadership and the state service.
   bool leading = false;
@@ -332,6 +340,7 @@
   admission::CreationQueue creation_queue_;
   BatchIndexFollower batches_;
   JobLookup lookup_;
+  QueryLookupQueue query_lookups_;
   FinalStateQuery final_state_query_;
   OverloadMonitor overload_;
   RecordingDelayReporter recording_delays_;
--- a/src/controller/job_lookup.cpp
+++ b/src/controller/job_lookup.cpp
@@ -22,34 +22,28 @@
   return outcome == LookupOutcome::throttled ? 429 : 503;
 }
 
-struct JobLookup::Pending {
-  std::string ref;
-  store::RequestPriority priority;
-  LookupDetail detail;
-  OnResult then;
-  Seconds began_at;
-  std::uint64_t term;
-};
-
 JobLookup::JobLookup(ports::Outbox& outbox, store::StateClient& store, BatchIndexFollower& batches,
                      Callbacks callbacks)
     : outbox_(outbox), store_(store), batches_(batches), callbacks_(std::move(callbacks)) {}
 
+PendingLookup JobLookup::begin(const std::string& ref, store::RequestPriority priority, LookupDetail detail,
+                               OnResult then) const {
+  return {ref, priority, detail, std::move(then), outbox_.now(), callbacks_.term()};
+}
+
 void JobLookup::look_up(const std::string& ref, store::RequestPriority priority, LookupDetail detail,
                         OnResult then) {
   wire::Transaction transaction;
   transaction.require(jobs::kLiveJobPrefix + ref, 0).require(jobs::kFinalStatePrefix + ref, 0);
-  Pending lookup{ref, priority, detail, std::move(then), outbox_.now(), callbacks_.term()};
-  store_.transact(
-      std::move(transaction), priority, ports::kNever,
-      [this, lookup = std::move(lookup)](const store::Reply& reply) { on_compared(lookup, reply); });
+  store_.transact(std::move(transaction), priority, ports::kNever,
+                  [this, lookup = begin(ref, priority, detail, std::move(then))](const store::Reply& reply) {
+                    on_compared(lookup, reply);
+                  });
 }
 
-void JobLookup::on_compared(const Pending& lookup, const store::Reply& reply) {
-  if (reply.status == 200 && batches_.may_miss_batches())
-    return look_up_in_batches(lookup);
+void JobLookup::on_compared(const PendingLookup& lookup, const store::Reply& reply) {
   if (reply.status == 200)
-    return lookup.then({LookupOutcome::absent});
+    return on_no_key(lookup);
   if (reply.status != 409)
     return lookup.then({reply.status == 429 ? LookupOutcome::throttled : LookupOutcome::unavailable});
   // The reply names which of the two keys existed, and so shows whether the job was live or had a final state
@@ -59,12 +53,18 @@
       std::find(existing.begin(), existing.end(), jobs::kFinalStatePrefix + lookup.ref) != existing.end();
   if (has_final_state || existing.empty())
     return read_final_state(lookup);
-  if (lookup.detail == LookupDetail::phase)
-    return lookup.then({LookupOutcome::found, wire::Phase::queued});
-  read_live(lookup);
+  on_live(lookup);
 }
 
-void JobLookup::read_live(const Pending& lookup) {
+void JobLookup::on_no_key(const PendingLookup& lookup) {
+  if (batches_.may_miss_batches())
+    return look_up_in_batches(lookup);
+  lookup.then({LookupOutcome::absent});
+}
+
+void JobLookup::on_live(const PendingLookup& lookup) {
+  if (lookup.detail == LookupDetail::phase)
+    return lookup.then({LookupOutcome::found, wire::Phase::queued});
   store_.get(jobs::kLiveJobPrefix + lookup.ref, lookup.priority,
              [then = lookup.then, term = lookup.term](const store::Reply& reply) {
                const auto item = parse_item(reply);
@@ -75,7 +75,7 @@
              });
 }
 
-void JobLookup::read_final_state(const Pending& lookup) {
+void JobLookup::read_final_state(const PendingLookup& lookup) {
   store_.get(jobs::kFinalStatePrefix + lookup.ref, lookup.priority,
              [this, ref = lookup.ref, then = lookup.then](const store::Reply& reply) {
                const auto item = parse_item(reply);
@@ -88,7 +88,7 @@
 }
 
 // The comparison found neither a key nor a final state, so the job was accepted only if it is in a job batch.
-void JobLookup::look_up_in_batches(const Pending& lookup) {
+void JobLookup::look_up_in_batches(const PendingLookup& lookup) {
   batches_.catch_up([this, lookup](bool caught_up) {
     // An index read anew since the lookup began does not know which batches were deleted before that.
     if (!caught_up || batches_.read_started_at() >= lookup.began_at)
@@ -101,12 +101,12 @@
       return lookup.then({LookupOutcome::absent});
     if (lookup.detail == LookupDetail::phase)
       return confirm_live(lookup);
-    read_from_batch(lookup, *batch_key);
+    on_live_in_batch(lookup, *batch_key);
   });
 }
 
 // A batch outlives some of its jobs, so this checks that the job has no final state.
-void JobLookup::confirm_live(const Pending& lookup) {
+void JobLookup::confirm_live(const PendingLookup& lookup) {
   wire::Transaction transaction;
   transaction.require(jobs::kFinalStatePrefix + lookup.ref, 0);
   store_.transact(std::move(transaction), lookup.priority, ports::kNever,
@@ -118,7 +118,9 @@
                   });
 }
 
-void JobLookup::read_from_batch(const Pending& lookup, const std::string& batch_key) {
+void JobLookup::on_live_in_batch(const PendingLookup& lookup, const std::string& batch_key) {
+  if (lookup.detail == LookupDetail::phase)
+    return lookup.then({LookupOutcome::found, wire::Phase::queued});
   store_.get(batch_key, lookup.priority,
              [ref = lookup.ref, then = lookup.then, term = lookup.term](const store::Reply& reply) {
                const auto item = parse_item(reply);
--- a/src/controller/job_lookup.hpp
+++ b/src/controller/job_lookup.hpp
@@ -44,6 +44,16 @@
 /// What to read of a live job: its phase only, or its record too.
 enum class LookupDetail : std::uint8_t { phase, live_record };
 
+/// A lookup in progress.
+struct PendingLookup {
+  std::string ref;
+  store::RequestPriority priority = store::RequestPriority::user;
+  LookupDetail detail = LookupDetail::phase;
+  std::function<void(const LookupResult&)> then;
+  Seconds began_at = 0;
+  std::uint64_t term = 0;  ///< JobLookup::Callbacks::term when it began
+};
+
 /// Looks up jobs in the state service. Most lookups need one comparison; a read follows only if the job
 /// exists. Jobs without a key of their own are looked up in the job batches.
 ///
@@ -63,14 +73,25 @@
   /// Calls `then` with the job's state as of some moment between this call and the callback.
   void look_up(const std::string& ref, store::RequestPriority priority, LookupDetail detail, OnResult then);
 
+  // The steps of a lookup, for QueryLookupQueue, which compares the keys of many jobs at a time. Each calls
+  // `lookup.then` once.
+
+  /// Returns a lookup that begins now.
+  PendingLookup begin(const std::string& ref, store::RequestPriority priority, LookupDetail detail,
+                      OnResult then) const;
+  /// The job has a key of its own and no final state.
+  void on_live(const PendingLookup& lookup);
+  /// The job is in that batch and has no final state.
+  void on_live_in_batch(const PendingLookup& lookup, const std::string& batch_key);
+  /// The job has neither a key of its own nor a final state.
+  void on_no_key(const PendingLookup& lookup);
+  /// The job has a final state.
+  void read_final_state(const PendingLookup& lookup);
+
  private:
-  struct Pending;
-  void on_compared(const Pending& lookup, const store::Reply& reply);
-  void read_live(const Pending& lookup);
-  void read_final_state(const Pending& lookup);
-  void look_up_in_batches(const Pending& lookup);
-  void confirm_live(const Pending& lookup);
-  void read_from_batch(const Pending& lookup, const std::string& batch_key);
+  void on_compared(const PendingLookup& lookup, const store::Reply& reply);
+  void look_up_in_batches(const PendingLookup& lookup);
+  void confirm_live(const PendingLookup& lookup);
 
   ports::Outbox& outbox_;
   store::StateClient& store_;
--- a/src/controller/job_queries.hpp
+++ b/src/controller/job_queries.hpp
@@ -11,6 +11,8 @@
 #include "controller/final_state_cache.hpp"
 #include "controller/job_lookup.hpp"
 #include "controller/peer_calls.hpp"
+#include "controller/query_lookup_queue.hpp"
+#include "controller/unanswered_queries.hpp"
 #include "jobs/dependency_graph.hpp"
 #include "jobs/job_registry.hpp"
 #include "wire/job_messages.hpp"
@@ -36,6 +38,7 @@
     const jobs::DependencyGraph& dependencies;
     const cells::RemotePlacements& remote_placements;
     JobLookup& lookup;
+    QueryLookupQueue& lookup_queue;
     PeerCalls& peer_calls;
     Responder& responder;
   };
@@ -64,11 +67,24 @@
   /// Answers a repeated submission of an accepted job.
   void answer_accepted(const RequestOrigin& origin, const wire::JobSpec& spec);
 
+  /// Reports jobs that stay unanswered. Must be called periodically.
+  void update();
+
   const DeferralCounts& deferral_counts() const {
     return deferral_counts_;
   }
+  const UnansweredQueries& unanswered() const {
+    return unanswered_;
+  }
+  /// Number of queries that were not forwarded because too many others were waiting for the leader.
+  std::uint64_t not_forwarded_count() const {
+    return not_forwarded_count_;
+  }
 
  private:
+  void ask_leader(const RequestOrigin& origin, const std::string& ref);
+  std::size_t max_forwarded() const;
+  void respond(const RequestOrigin& origin, const std::string& ref, int status, wire::Value body = nullptr);
   void on_looked_up(const RequestOrigin& origin, const std::string& ref, ReplyDetail detail,
                     bool leader_overdue, bool leader_deferred, const LookupResult& result);
   bool may_be_orphaned(const jobs::Job& job) const;
@@ -79,6 +95,9 @@
   Collaborators collaborators_;
   Callbacks callbacks_;
   DeferralCounts deferral_counts_{};
+  UnansweredQueries unanswered_;
+  std::size_t forwarded_in_flight_ = 0;
+  std::uint64_t not_forwarded_count_ = 0;
 };
 
 }  // namespace wingtrail::controller
--- a/src/controller/stats.cpp
+++ b/src/controller/stats.cpp
@@ -43,6 +43,14 @@
   s.submissions_refused = submission_.counts().refused;
   s.forwarded_requests = peer_calls_.count();
   s.queries_deferred = queries_.deferral_counts();
+  s.queries_not_forwarded = queries_.not_forwarded_count();
+  s.unanswered_jobs = queries_.unanswered().count();
+  s.longest_unanswered_s = queries_.unanswered().longest(out_.now());
+  s.overdue_jobs = queries_.unanswered().overdue_count();
+  s.lookups_waiting = query_lookups_.waiting_count();
+  s.lookups_expired = query_lookups_.counts().expired;
+  s.comparisons = query_lookups_.counts().comparisons;
+  s.jobs_compared = query_lookups_.counts().jobs_compared;
   s.delegated_renewals = delegated_renewal_.counts().renewals;
   s.delegations_granted = delegated_renewal_.counts().grants;
   s.cancellations_deferred = cancellation_.deferred_count();
@@ -115,6 +123,11 @@
       s.tasks_reclaimed, s.machines_examined, s.jobs_examined, s.state_requests, s.state_throttled,
       s.state_writes, s.final_states_written, s.inventory_written, s.completions_written,
       s.forwarded_requests, s.live_jobs, s.held_jobs, s.machines, s.record_pages);
+  spdlog::debug(
+      "stats: queries unanswered={} longest_unanswered_s={:.0f} overdue={} not_forwarded={} waiting={} "
+      "expired={} comparisons={} jobs_compared={}",
+      s.unanswered_jobs, s.longest_unanswered_s, s.overdue_jobs, s.queries_not_forwarded, s.lookups_waiting,
+      s.lookups_expired, s.comparisons, s.jobs_compared);
   for (const Stats::ClassLoad& load : s.loads) {
     spdlog::debug(
         "stats: load class={} team={} cores_in_use={:.0f} cores_waiting={:.0f} oldest_wait_s={:.0f} "
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -36,9 +36,10 @@
 }
 
 // Shares of `max_connections` for each kind of connection, so that no kind can use up the sockets of the
-// others. Every worker keeps a connection to the leader open, so users and workers get most of the sockets.
+// others. Every worker keeps a connection to the leader open, so users and workers get most of the sockets;
+// settings::Settings::peer_connections() are for other controllers.
 // The remainder is for the listening sockets and the event loop.
-constexpr double kCallShare = 0.12, kPeerShare = 0.03, kSpareShare = 0.03, kClientShare = 0.8;
+constexpr double kCallShare = 0.12, kSpareShare = 0.03, kClientShare = 0.8;
 
 std::size_t connection_limit(const settings::Settings& settings, double share, double minimum) {
   return static_cast<std::size_t>(std::max(minimum, settings.max_connections * share));
@@ -56,7 +57,7 @@
 net::ServerLimits peer_limits(const settings::Settings& settings) {
   net::ServerLimits limits;
   limits.max_body = 2 * wire::kMaxBody;
-  limits.max_connections = connection_limit(settings, kPeerShare, 8);
+  limits.max_connections = settings.peer_connections();
   return limits;
 }
 
@@ -67,9 +68,9 @@
       scope_(loop_),
       controller_(settings_, random_seed()),
       client_(scope_, connection_limit(settings_, kCallShare, 16), kMaxReplyBytes),
-      client_server_(scope_, settings_.client_listen.host, settings_.client_listen.port,
-                     client_limits(settings_), [this](net::Request r) { return serve_client(std::move(r)); },
-                     client_priority),
+      client_server_(
+          scope_, settings_.client_listen.host, settings_.client_listen.port, client_limits(settings_),
+          [this](net::Request r) { return serve_client(std::move(r)); }, client_priority),
       peer_server_(scope_, settings_.peer_listen.host, settings_.peer_listen.port, peer_limits(settings_),
                    [this](net::Request r) { return serve_peer(std::move(r)); }) {}
 
@@ -159,10 +160,9 @@
   const std::uint64_t id = call.id;
   const bool to_controller = call.target == ports::Target::peer || call.target == ports::Target::cell;
   const bool to_worker = call.target == ports::Target::worker;
-  net::CallResult outcome =
-      co_await client_.call(endpoint.host, endpoint.port, std::move(request), std::move(content_type),
-                            loop_.now() + call.timeout_s, call.not_after,
-                            to_worker ? net::Priority::bulk : net::Priority::control);
+  net::CallResult outcome = co_await client_.call(
+      endpoint.host, endpoint.port, std::move(request), std::move(content_type), loop_.now() + call.timeout_s,
+      call.not_after, to_worker ? net::Priority::bulk : net::Priority::control);
   if (scope_.cancelled())
     co_return;
   ports::Reply reply;
--- a/src/daemon/metrics_exporter.cpp
+++ b/src/daemon/metrics_exporter.cpp
@@ -194,6 +194,23 @@
     queries.Add({{"why", controller::name(static_cast<controller::DeferralReason>(reason))}})
         .Set(static_cast<double>(stats.queries_deferred[reason]));
   }
+  page.gauge("wingtrail_questions_unanswered_jobs", "jobs without an answer since a query was deferred",
+             static_cast<double>(stats.unanswered_jobs));
+  page.gauge("wingtrail_questions_longest_unanswered_seconds",
+             "seconds since the first deferred query of the job that has been unanswered for longest",
+             stats.longest_unanswered_s);
+  page.counter("wingtrail_questions_overdue_total",
+               "jobs whose queries stayed unanswered for too long while the state service replied",
+               stats.overdue_jobs);
+  page.counter("wingtrail_questions_not_forwarded_total",
+               "queries not forwarded because too many others were waiting for the leader",
+               stats.queries_not_forwarded);
+  page.counter("wingtrail_question_comparisons_total",
+               "requests to the state service that compare the keys of queried jobs", stats.comparisons);
+  page.counter("wingtrail_question_jobs_compared_total", "jobs compared by these requests",
+               stats.jobs_compared);
+  page.counter("wingtrail_question_lookups_expired_total",
+               "lookups for queries given up before the request budget allowed them", stats.lookups_expired);
   auto& deferred =
       page.gauges("wingtrail_put_off", "submissions deferred since the process started, by team and class");
   for (const auto& [team_and_class, count] : stats.deferred_by_class)
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -88,6 +88,12 @@
   }
   double cloud_requests_per_s = 8, cloud_list_lag_s = 5;
   int max_connections = 1000;
+  /// Connections of `max_connections` that are for other controllers.
+  std::size_t peer_connections() const {
+    constexpr double kPeerShare = 0.03;
+    constexpr double kMinimum = 8;
+    return static_cast<std::size_t>(std::max(kMinimum, max_connections * kPeerShare));
+  }
   double memory_mb = 0;
   Tunables tunables;
   Cells cells;
--- a/src/simulation/components.hpp
+++ b/src/simulation/components.hpp
@@ -23,9 +23,7 @@
 inline constexpr double kGangPeer = 8;
 /// Interval of `check_free_to_start`, which walks over all machines.
 inline constexpr double kFreeCheckEvery = 0.25;
-/// Longest time without an answer to the queries of a job, after the end of all faults.
-inline constexpr double kUnansweredLimit = 75;
-/// The same at any time, while most queries of other jobs are answered.
+/// Longest time without an answer to the queries of a job while most queries of other jobs are answered.
 inline constexpr double kForgottenLimit = 90;
 
 inline std::string node_name(std::size_t i) {
@@ -90,6 +88,7 @@
   std::unique_ptr<controller::Controller> controller;
   std::uint64_t process_number = 0;
   double clock_rate = 1, paused_until = -1, wake_at = -1;
+  double request_delay_s = 0, requests_delayed_until = -1;
   std::uint64_t requests = 0;
   std::map<std::uint64_t, AnswerCallback> open_requests;
   bool was_leader = false;
--- a/src/simulation/controllers.cpp
+++ b/src/simulation/controllers.cpp
@@ -13,6 +13,25 @@
   controllers_[i]->paused_until = now_ + for_s;
 }
 
+void SimulatedCluster::delay_requests(std::size_t i, double delay_s, double for_s) {
+  controllers_[i]->request_delay_s = delay_s;
+  controllers_[i]->requests_delayed_until = now_ + for_s;
+}
+
+double SimulatedCluster::request_delay(std::size_t i) const {
+  return now_ < controllers_[i]->requests_delayed_until ? controllers_[i]->request_delay_s : 0;
+}
+
+void SimulatedCluster::after_request_delay(std::size_t i, std::function<void()> handle) {
+  const double delay_s = request_delay(i);
+  if (delay_s <= 0)
+    return handle();
+  add_event_after(delay_s, [this, i, handle = std::move(handle), process = controllers_[i]->process_number] {
+    if (controllers_[i]->process_number == process)
+      handle();
+  });
+}
+
 void SimulatedCluster::boot(std::size_t i) {
   if (external_processes_.boot)
     return external_processes_.boot(i);
@@ -200,22 +219,15 @@
         return;
       case ports::Target::cloud:
         return cloud_request(call.method, call.path, call.body, back);
-      case ports::Target::peer: {
-        SimulatedController& other = *controllers_[peer];
-        if (!other.controller || now_ < other.paused_until)
-          return;
-        const std::uint64_t id = ++other.requests;
-        other.open_requests[id] = [this, caller, to, finish](const ports::Answer& a) {
+      case ports::Target::peer:
+        return deliver_frame(peer, *call.frame, [this, caller, to, finish](const ports::Answer& a) {
           send(to, caller, [finish, a] {
             ports::Reply r;
             r.status = a.status;
             r.frame = a.frame;
             finish(r);
           });
-        };
-        other.controller->on_frame(node_time(other), id, *peer::decode(peer::encode(*call.frame)));
-        return run_controller(peer);
-      }
+        });
       case ports::Target::worker: {
         if (!host || host->gone || host->dead || !host->up)
           return;
@@ -246,6 +258,10 @@
 }
 
 void SimulatedCluster::deliver_frame(std::size_t node, const peer::Frame& frame, AnswerCallback then) {
+  after_request_delay(node, [this, node, frame, then = std::move(then)] { handle_frame(node, frame, then); });
+}
+
+void SimulatedCluster::handle_frame(std::size_t node, const peer::Frame& frame, AnswerCallback then) {
   SimulatedController& c = *controllers_[node];
   if (!c.controller || now_ < c.paused_until)
     return;
@@ -258,13 +274,20 @@
 void SimulatedCluster::deliver(std::size_t i, controller::IncomingRequest request, AnswerCallback then) {
   if (external_processes_.deliver)
     return external_processes_.deliver(i, std::move(request), std::move(then));
+  after_request_delay(i, [this, i, request = std::move(request), then = std::move(then)] {
+    handle_request(i, request, then);
+  });
+}
+
+void SimulatedCluster::handle_request(std::size_t i, controller::IncomingRequest request,
+                                      AnswerCallback then) {
   SimulatedController& c = *controllers_[i];
   if (!c.controller)
     return;
   if (now_ < c.paused_until) {
     add_event(c.paused_until, [this, i, request, then, process = c.process_number] {
       if (controllers_[i]->process_number == process)
-        deliver(i, request, then);
+        handle_request(i, request, then);
     });
     return;
   }
--- a/src/simulation/network.cpp
+++ b/src/simulation/network.cpp
@@ -11,6 +11,10 @@
   return links_[std::minmax(a, b)];
 }
 
+bool SimulatedCluster::is_cut(const std::string& a, const std::string& b) {
+  return now_ < std::max(link(a, b).cut_until, zone_cut(a, b).first);
+}
+
 double SimulatedCluster::latency() {
   if (now_ < slow_links_until_)
     return random_between(0.05, 0.5);
--- a/src/simulation/rules.cpp
+++ b/src/simulation/rules.cpp
@@ -277,21 +277,21 @@
   return 2 * answered_at_.size() > asked_at_.size();
 }
 
-// Reports an accepted job whose queries stay unanswered: for longer than `kUnansweredLimit` after the end of
-// all faults, or for longer than `kForgottenLimit` at any time at which most queries are answered.
+// Reports an accepted job whose queries stay unanswered: for longer than `unanswered_limit_s` after the end
+// of all faults, or for longer than `kForgottenLimit` at any time at which most queries are answered.
 void SimulatedCluster::check_answered(UserJob& job) {
   if (!job.accepted || job.reported_done || job.cancellation_confirmed_at >= 0)
     return;
   const double spell = now_ - std::max({job.answered_at, job.accepted_at, faults_end_at()});
   run_report_.longest_unanswered = std::max(run_report_.longest_unanswered, spell);
-  if (spell > kUnansweredLimit)
+  if (spell > plan_.unanswered_limit_s)
     report_violation("unanswered",
                      job.spec.ref + ": no answer for " + std::to_string(spell) + " s, all being calm");
   const double silence = now_ - std::max(job.answered_at, job.accepted_at);
   if (silence <= run_report_.longest_unanswered_beside_answers || !most_are_answered())
     return;
   run_report_.longest_unanswered_beside_answers = silence;
-  if (silence > kUnansweredLimit)
+  if (silence > plan_.unanswered_limit_s)
     spdlog::debug("simulation: query_unanswered t={:.3f} job={} for_s={:.1f}", now_, job.spec.ref, silence);
   if (silence > kForgottenLimit)
     report_violation("forgotten",
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -90,6 +90,8 @@
   /// The combined faults include direct commands that arrive late, and old heartbeats that reach a new leader
   /// before any worker does.
   bool late_commands = false;
+  /// Longest time without an answer to the queries of a job, after the end of all faults; seconds.
+  double unanswered_limit_s = 75;
   /// Name of a fault that is planted on purpose, to show that a check can fail.
   std::string planted_fault;
 };
@@ -180,6 +182,8 @@
     std::function<void(std::size_t, controller::IncomingRequest, AnswerCallback)> deliver;
     std::function<std::string(const std::string&)> address;
     std::function<void(std::size_t)> boot, crash;
+    /// Returns the controller to which the load balancer sends a user.
+    std::function<std::size_t()> choose_node;
   };
   explicit SimulatedCluster(SimulationPlan plan, ExternalProcesses external_processes = {});
   ~SimulatedCluster();
@@ -222,6 +226,9 @@
   void cut_node(std::size_t i, bool from_state, bool from_peers, double for_s, bool hold);
   /// Stalls the controller process.
   void freeze(std::size_t i, double for_s);
+  /// The controller handles every request of users and peers `delay_s` late, as on a processor that has more
+  /// work than it can do; users go to the other controllers. Counts as normal operation, not as a fault.
+  void delay_requests(std::size_t i, double delay_s, double for_s);
   /// The state service refuses the requests of this controller only.
   void refuse_state_service(std::size_t node, double for_s);
   /// This share of transactions gets no answer; they are executed at once or 2 to 12 s later.
@@ -254,6 +261,10 @@
   /// Machines rented during this time are up within 2 s.
   void boot_quickly(double for_s);
   void slow_down_links(double for_s);
+  /// Records that a fault lasting `for_s` seconds begins now.
+  void extend_fault_period(double for_s);
+  /// Whether the link between two endpoints is cut.
+  bool is_cut(const std::string& a, const std::string& b);
 
   /// The job's user cancels it now, and repeats the request until it is answered.
   void cancel(const std::string& ref);
@@ -403,6 +414,12 @@
   void run_controller(std::size_t i);
   void execute_call(std::size_t i, const ports::Call& call);
   void deliver(std::size_t i, controller::IncomingRequest request, AnswerCallback then);
+  /// Delivers a request whose delay, if any, is over.
+  void handle_request(std::size_t i, controller::IncomingRequest request, AnswerCallback then);
+  void handle_frame(std::size_t i, const peer::Frame& frame, AnswerCallback then);
+  double request_delay(std::size_t i) const;
+  /// Calls `handle` after the controller's request delay, or at once if it has none.
+  void after_request_delay(std::size_t i, std::function<void()> handle);
 
   // state service
   void record_change(const std::string& key, Value value, bool erased);
@@ -441,6 +458,8 @@
   void schedule_submissions();
   void submit_random_job();
   void submit(UserJob& job, double since);
+  /// Returns the controller to which the load balancer sends a user.
+  std::size_t node_for_user();
   void poll(UserJob& job);
   void cancel_job(UserJob& job);
   void on_job_state(UserJob& job, int status, const Value& body, const char* source);
@@ -457,8 +476,6 @@
   bool most_are_answered();
   void check_waiting();
   bool has_capacity_beside(const UserJob& job) const;
-  /// Records that a fault lasting `for_s` seconds begins now.
-  void extend_fault_period(double for_s);
   /// Returns the time from which no fault is left.
   double faults_end_at() const;
 
--- a/src/simulation/users.cpp
+++ b/src/simulation/users.cpp
@@ -158,8 +158,17 @@
   }
 }
 
+std::size_t SimulatedCluster::node_for_user() {
+  if (external_processes_.choose_node)
+    return external_processes_.choose_node();
+  std::size_t node = random_index(plan_.nodes);
+  while (request_delay(node) > 0)
+    node = (node + 1) % plan_.nodes;
+  return node;
+}
+
 void SimulatedCluster::submit(UserJob& job, double since) {
-  submit_at(job, since, random_index(plan_.nodes));
+  submit_at(job, since, node_for_user());
 }
 
 void SimulatedCluster::submit_at(UserJob& job, double since, std::size_t node) {
@@ -255,7 +264,7 @@
 
 void SimulatedCluster::poll(UserJob& job) {
   check_answered(job);
-  query_at_node(job, random_index(plan_.nodes), "poll");
+  query_at_node(job, node_for_user(), "poll");
   const bool is_final = job.reported_done || job.cancellation_confirmed_at >= 0;
   add_event_after(is_final ? random_between(10, 40) : random_between(2, 5), [this, &job] { poll(job); });
 }
@@ -292,7 +301,7 @@
     add_event_after(1, [this, &job] { cancel_job(job); });
     return;
   }
-  cancel_at_node(job, random_index(plan_.nodes));
+  cancel_at_node(job, node_for_user());
   add_event_after(2, [this, &job] {
     if (!job.cancelled)
       cancel_job(job);
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -113,6 +113,14 @@
   return std::max(requests_bucket_.time_until(out_.now(), 1, request_floor(priority)), changes);
 }
 
+Seconds StateClient::time_until_readable(RequestPriority priority) {
+  record_demand(0, 0);
+  const Seconds common = requests_bucket_.time_until(out_.now(), 1, request_floor(priority));
+  if (priority != RequestPriority::query)
+    return common;
+  return std::min(common, query_bucket_.time_until(out_.now(), 1, 0));
+}
+
 void StateClient::set_leading(bool leading) {
   if (share_source_)
     return;
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -45,6 +45,8 @@
   void set_share_source(std::function<BudgetShare()> share_of_whole);
   /// Time in s until a transaction of `writes` changes would be sent; 0 if it would be sent now.
   Seconds time_until_writable(RequestPriority priority, double writes);
+  /// The same for a request without changes.
+  Seconds time_until_readable(RequestPriority priority);
   /// Changes per second that this controller may make.
   double write_rate() const {
     return writes_bucket_.rate();
