Soak: overlapping faults on controller processes, and every job answered within 20 s of the last one

Processes, load balancer and faults have files of their own; controllers reach their peers through proxies, so that links can be cut.

The simulated cluster's limit for unanswered queries is a parameter of its plan; its default is as before.

--- a/src/simulation/users.cpp
+++ b/src/simulation/users.cpp
@@ -282,6 +282,8 @@
     deliver(node, request, [this, &job, asked_at, was_final, source](const ports::Answer& answer) {
       if (now_ - asked_at > 2 || plan_.planted_fault == "questions_unanswered")
         return;
+      if (plan_.planted_fault == "services_unanswered" && job.spec.shape == wire::Shape::service)
+        return;
       if (plan_.planted_fault == "one_unanswered" && job.spec.ref == jobs_.begin()->first)
         return;
       if (answer.status == 200)
--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -7,36 +7,32 @@
 // between the controllers of different cells pass through a relay in this program, which refuses them
 // for a while, and all controllers of the last cell are killed for a while. --former starts all
 // controllers with that program and restarts them one by one with the new one; tests/upgrade.sh builds
-// the version in production for it.
-#include <arpa/inet.h>
-#include <fcntl.h>
-#include <signal.h>
+// the version in production for it. --soak plays overlapping faults (soak_faults.hpp) while users go on.
 #include <spdlog/spdlog.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <CLI/CLI.hpp>
-#include <array>
-#include <charconv>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <memory>
+#include <unordered_map>
 
+#include "controller_processes.hpp"
+#include "load_balancer.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "simulation/simulated_cluster.hpp"
+#include "soak_faults.hpp"
+#include "wire/worker_messages.hpp"
 
 namespace wingtrail::simulation {
 namespace {
 
-constexpr std::size_t kNodes = 3;
-constexpr net::Seconds kUserTimeoutS = 10;
-constexpr const char* kLoopback = "127.0.0.1";
+constexpr net::Seconds kUserTimeoutS = 10, kPeerTimeoutS = 5;
 
 struct Options {
   std::string program, former;
@@ -44,31 +40,13 @@
   std::string tunables;
   std::uint64_t seed = 1;
   double troubles = 0;
-  bool end_one = false, tell = false, gap = false, late_messages = false;
+  bool end_one = false, tell = false, gap = false, late_messages = false, soak = false;
+  int workers = 0;
+  std::size_t max_connections = 1000;
+  std::string planted_fault;
   std::size_t cells = 1;
 };
 
-// Returns a port that nothing listened on at the time of the call; 0 on error.
-std::uint16_t free_port() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in a{};
-  a.sin_family = AF_INET;
-  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof a;
-  std::uint16_t port = 0;
-  if (fd >= 0 && bind(fd, reinterpret_cast<sockaddr*>(&a), size) == 0 &&
-      getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size) == 0) {
-    port = ntohs(a.sin_port);
-  }
-  if (fd >= 0)
-    close(fd);
-  return port;
-}
-
-std::string address(std::uint16_t port) {
-  return std::string(kLoopback) + ":" + std::to_string(port);
-}
-
 class Cluster {
  public:
   Cluster(const Options& options, net::EventLoop& loop, net::TaskScope& scope, std::size_t cell,
@@ -78,18 +56,17 @@
         scope_(scope),
         client_(scope_, 500, 1u << 20),
         cell_(cell),
-        directory_(std::filesystem::temp_directory_path() /
-                   ("wingtrail-cluster-" + std::to_string(getpid()) + "-" + std::to_string(cell))) {
-    std::filesystem::create_directories(directory_);
-    for (Process& p : nodes_)
-      p.client = free_port(), p.peer = free_port(), p.state = free_port(), p.cloud = free_port(),
-      p.relay = free_port();
+        processes_(std::filesystem::temp_directory_path() /
+                   ("wingtrail-cluster-" + std::to_string(getpid()) + "-" + std::to_string(cell))),
+        load_balancer_(scope, client_ports(), options.seed) {
     SimulationPlan plan;
     plan.seed = options.seed + 1000 * cell;
     plan.cell = cell, plan.cells = options.cells;
     plan.duration_s = options.seconds * 0.6;
     plan.settle_s = options.seconds * 0.4;
     plan.fault_every_s = options.troubles;
+    if (options.soak)
+      configure_soak(plan);
     plan.dependencies = true;
     plan.upgrade = !options.former.empty();
     plan.fair_admission = !options.tunables.empty();  // users also submit in bursts
@@ -104,36 +81,34 @@
               send_request(i, std::move(in), std::move(then));
             },
             [this](const std::string& host) { return serve_worker(host); },
-            [this](std::size_t i) { boot(i); },
-            [this](std::size_t i) {
-              crash(i);
+            [this](std::size_t i) { boot(i); }, [this](std::size_t i) { processes_.kill(i); },
+            [this] {
+              return load_balancer_.choose();
             }});
     if (options.cells > 1) {
       network->cells.push_back(cluster_.get());
       cluster_->join_network(network);
     }
-    for (std::size_t i = 0; i < kNodes; ++i) {
-      serve(nodes_[i].state, [this, i](net::Request r, SimulatedCluster::ReplyCallback reply) {
-        cluster_->state_service_request(i, r.method, r.target, body(r), std::move(reply));
+    for (std::size_t i = 0; i < kControllers; ++i) {
+      serve(processes_.ports(i).state, [this, i](net::Request r, SimulatedCluster::ReplyCallback reply) {
+        if (!cluster_->is_cut("node-" + std::to_string(i), "state"))
+          cluster_->state_service_request(i, r.method, r.target, body(r), std::move(reply));
       });
-      serve(nodes_[i].cloud, [this](net::Request r, SimulatedCluster::ReplyCallback reply) {
+      serve(processes_.ports(i).cloud, [this](net::Request r, SimulatedCluster::ReplyCallback reply) {
         cluster_->cloud_request(r.method, r.target, body(r), std::move(reply));
       });
-      write_settings(i);
+      processes_.write_settings(i, cluster_->settings_before_upgrade(), cluster_->settings(),
+                                options_.max_connections);
+      serve_peer_proxies(i);
       auto relay = [this, i](net::Request r) -> net::Task<net::Response> {
         return relay_request(i, std::move(r));
       };
-      servers_.push_back(
-          std::make_unique<net::HttpServer>(scope_, kLoopback, nodes_[i].relay, net::ServerLimits{}, relay));
+      servers_.push_back(std::make_unique<net::HttpServer>(scope_, kLoopback, processes_.ports(i).relay,
+                                                           net::ServerLimits{}, relay));
       if (auto error = servers_.back()->listen())
         spdlog::error("process_cluster: listen_failed error={}", *error);
     }
   }
-  ~Cluster() {
-    for (std::size_t i = 0; i < kNodes; ++i)
-      crash(i);
-    std::filesystem::remove_all(directory_);
-  }
   Cluster(const Cluster&) = delete;
   Cluster& operator=(const Cluster&) = delete;
 
@@ -150,8 +125,8 @@
       if (other.get() == this)
         continue;
       f << "    c" << other->cell_ << ": [";
-      for (std::size_t i = 0; i < kNodes; ++i)
-        f << (i > 0 ? ", " : "") << '"' << address(other->nodes_[i].relay) << '"';
+      for (std::size_t i = 0; i < kControllers; ++i)
+        f << (i > 0 ? ", " : "") << '"' << loopback_address(other->processes_.ports(i).relay) << '"';
       f << "]\n";
     }
   }
@@ -168,6 +143,11 @@
         cluster_->crash(0);
       });
     }
+    load_balancer_.start();
+    if (options_.soak) {
+      soak_faults_ = std::make_unique<SoakFaults>(*cluster_, processes_, options_.seed, soak_faults_end_s());
+      soak_faults_->schedule();
+    }
     if (options_.gap)
       schedule_gap();
     if (options_.late_messages)
@@ -179,7 +159,7 @@
     if (options_.cells > 1 && cell_ + 1 == options_.cells) {
       for (double t = 0; t < options_.seconds * 0.1; t += 0.5) {
         cluster_->schedule_after(options_.seconds * 0.42 + t, [this] {
-          for (std::size_t i = 0; i < kNodes; ++i)
+          for (std::size_t i = 0; i < kControllers; ++i)
             cluster_->crash(i);
         });
       }
@@ -233,11 +213,6 @@
   }
 
  private:
-  struct Process {
-    std::uint16_t client = 0, peer = 0, state = 0, cloud = 0;
-    std::uint16_t relay = 0;  // address for the controllers of other cells
-    pid_t pid = -1;
-  };
   using Service = std::function<void(net::Request, SimulatedCluster::ReplyCallback)>;
 
   double now() {
@@ -291,12 +266,19 @@
 
   // Forwards a request of another cell's controller to controller `i`; answers 503 while refuses_ is set.
   net::Task<net::Response> relay_request(std::size_t i, net::Request r) {
+    constexpr int kUnavailable = 503;
+    if (!refuses_)
+      co_return co_await pass_on(processes_.ports(i).peer, std::move(r), kUnavailable);
     net::Response response;
-    response.status = 503;
-    if (refuses_)
-      co_return response;
-    const net::CallResult result = co_await client_.call(
-        kLoopback, nodes_[i].peer, std::move(r), "application/msgpack", loop_.now() + 5, ports::kNever);
+    response.status = kUnavailable;
+    co_return response;
+  }
+  // Sends a frame to a controller and returns its answer, or `no_reply_status` if there is none.
+  net::Task<net::Response> pass_on(std::uint16_t port, net::Request r, int no_reply_status) {
+    net::Response response;
+    response.status = no_reply_status;
+    const net::CallResult result = co_await client_.call(kLoopback, port, std::move(r), "application/msgpack",
+                                                         loop_.now() + kPeerTimeoutS, ports::kNever);
     if (scope_.cancelled() || result.status == 0)
       co_return response;
     response.status = result.status;
@@ -313,7 +295,79 @@
       if (auto a = cluster_->worker_commands(host, body(r)))
         reply(a->first, std::move(a->second));
     });
-    return address(port);
+    return loopback_address(port);
+  }
+
+  // With the option soak, users go on until the end, and every job has to be answered soon after the last
+  // fault.
+  void configure_soak(SimulationPlan& plan) const {
+    constexpr double kAnsweredWithinS = 20;
+    plan.duration_s = options_.seconds;
+    plan.settle_s = 0;
+    plan.fault_every_s = 0;
+    plan.arrival_s = 3;
+    plan.machines = 12;
+    plan.max_machines = 60;
+    plan.peer_agreement = plan.load_balancing = plan.zone_tracking = true;
+    plan.delegation_leases = 5;
+    plan.back_from = 0.2, plan.back_to = 3;
+    plan.unanswered_limit_s = kAnsweredWithinS;
+    plan.planted_fault = options_.planted_fault;
+    if (options_.workers > 0) {
+      plan.machines = options_.workers;
+      plan.max_machines = static_cast<std::size_t>(options_.workers);
+      plan.idle_return_s = options_.seconds;
+    }
+  }
+  // The time after the last fault is long enough to detect a job without an answer.
+  double soak_faults_end_s() const {
+    constexpr double kCalmS = 40;
+    return options_.seconds - kCalmS;
+  }
+  std::vector<std::uint16_t> client_ports() const {
+    std::vector<std::uint16_t> ports;
+    for (std::size_t i = 0; i < kControllers; ++i)
+      ports.push_back(processes_.ports(i).client);
+    return ports;
+  }
+
+  // Passes the requests of controller `i` on to its peers, unless the link between them is cut.
+  void serve_peer_proxies(std::size_t i) {
+    for (std::size_t peer = 0; peer < kControllers; ++peer) {
+      if (peer == i)
+        continue;
+      auto handle = [this, i, peer](net::Request r) -> net::Task<net::Response> {
+        return proxy_to_peer(i, peer, std::move(r));
+      };
+      net::ServerLimits limits;
+      limits.max_body = 2 * wire::kMaxBody;
+      servers_.push_back(std::make_unique<net::HttpServer>(
+          scope_, kLoopback, processes_.ports(i).peer_proxies[peer], limits, handle));
+      if (auto error = servers_.back()->listen())
+        spdlog::error("process_cluster: listen_failed error={}", *error);
+    }
+  }
+  net::Task<net::Response> proxy_to_peer(std::size_t i, std::size_t peer, net::Request r) {
+    constexpr int kGatewayTimeout = 504;
+    const std::string from = "node-" + std::to_string(i), to = "node-" + std::to_string(peer);
+    if (!cluster_->is_cut(from, to))
+      co_return co_await pass_on(processes_.ports(peer).peer, std::move(r), kGatewayTimeout);
+    co_await net::Sleep(scope_, loop_.now() + kPeerTimeoutS);
+    net::Response response;
+    response.status = kGatewayTimeout;
+    co_return response;
+  }
+
+  // Returns the connection pool of the request's sender.
+  net::HttpClient& client_of(const controller::IncomingRequest& incoming) {
+    if (incoming.path != wire::kHeartbeatPath)
+      return client_;
+    const auto heartbeat = wire::decode_cbor(incoming.body);
+    const std::string host = heartbeat ? wire::text(*heartbeat, "host").value_or("") : "";
+    std::unique_ptr<net::HttpClient>& client = worker_clients_[host];
+    if (!client)
+      client = std::make_unique<net::HttpClient>(scope_, 1, 1U << 20);
+    return *client;
   }
 
   // Sends a request to controller `i` and calls `then` with the answer; does not call it if there is none.
@@ -321,8 +375,8 @@
                                  SimulatedCluster::AnswerCallback then) {
     net::Request request{incoming.method, incoming.path, incoming.body};
     const net::CallResult result =
-        co_await client_.call(kLoopback, nodes_[i].client, std::move(request), "application/cbor",
-                              loop_.now() + kUserTimeoutS, ports::kNever);
+        co_await client_of(incoming).call(kLoopback, processes_.ports(i).client, std::move(request),
+                                          "application/cbor", loop_.now() + kUserTimeoutS, ports::kNever);
     if (scope_.cancelled() || result.status == 0)
       co_return;
     ports::Answer answer;
@@ -333,69 +387,14 @@
     then(answer);
   }
 
-  void write_settings(std::size_t i) const {
-    const settings::Settings& s = cluster_->settings_before_upgrade();
-    const settings::Settings& next = cluster_->settings();
-    std::ofstream f(path(i));
-    f << "node_name = \"node-" << i << "\"\narea = \"" << s.zones[i % 2] << "\"\nclient_listen = \""
-      << address(nodes_[i].client) << "\"\npeer_listen = \"" << address(nodes_[i].peer) << "\"\n";
-    for (std::size_t p = 0; p < kNodes; ++p) {
-      if (p == i)
-        continue;
-      f << "[[seeds]]\nnode_name = \"node-" << p << "\"\narea = \"" << s.zones[p % 2] << "\"\nendpoint = \""
-        << address(nodes_[p].peer) << "\"\n";
-    }
-    f << "[external]\ncloud = \"" << address(nodes_[i].cloud) << "\"\nstate = \"" << address(nodes_[i].state)
-      << "\"\n[params]\nsize = 3\nzones = [\"" << s.zones[0] << "\", \"" << s.zones[1]
-      << "\"]\ntime_bound_ms = 25.0\n";
-    for (const settings::Team& t : s.teams) {
-      f << "[[params.teams]]\nname = \"" << t.name << "\"\ncpus = " << t.cpus
-        << ".0\ncpus_max = " << t.cpus_max << ".0\ngpus = 0.0\ngpus_max = 0.0\n";
-    }
-    f << "[params.workers]\nreport_s = " << s.heartbeat_interval_s << "\nlease_s = " << s.worker_lease_s
-      << "\ngang_wait_s = 25.0\n"
-      << "gang_peer_s = 8.0\ncancel_s = " << s.cancellation_limit_s
-      << "\n[params.state]\nrps = " << s.state_requests_per_s << "\nwrite_rps = " << s.state_writes_per_s
-      << "\nvalue_kb = " << s.state_value_kb << "\ntxn_ops = " << s.max_transaction_changes
-      << "\n[params.state.next]\nwrite_rps = " << next.state_writes_per_s
-      << "\nvalue_kb = " << next.state_value_kb << "\ntxn_ops = " << next.max_transaction_changes
-      << "\n[params.cloud]\nrps = " << s.cloud_requests_per_s << "\nlist_lag_s = " << s.cloud_list_lag_s
-      << "\n[params.limits]\ncores = 0.5\nmem_mb = 200.0\nmax_connections = 1000\n";
-  }
-
-  std::string path(std::size_t i) const {
-    return directory_ / ("node-" + std::to_string(i) + ".toml");
-  }
-
   std::string tunables() const {
-    return options_.cells > 1 ? std::string(directory_ / "tunables.yaml") : options_.tunables;
+    return options_.cells > 1 ? processes_.tunables_path() : options_.tunables;
   }
 
   void boot(std::size_t i) {
-    if (nodes_[i].pid > 0)
-      return;
-    const std::string settings = path(i);
-    const std::string& program = cluster_->runs_former_version(i) ? options_.former : options_.program;
-    const std::string tunables_path = tunables();
-    std::array<char*, 6> argv = {const_cast<char*>(program.c_str()), const_cast<char*>("--config"),
-                                 const_cast<char*>(settings.c_str())};
     // The former program does not know all tunables.
-    if (!tunables_path.empty() && !cluster_->runs_former_version(i))
-      argv[3] = const_cast<char*>("--tunables"), argv[4] = const_cast<char*>(tunables_path.c_str());
-    const pid_t pid = fork();
-    if (pid == 0) {
-      execv(argv[0], argv.data());
-      _exit(127);
-    }
-    nodes_[i].pid = pid;
-  }
-
-  void crash(std::size_t i) {
-    if (nodes_[i].pid <= 0)
-      return;
-    kill(nodes_[i].pid, SIGKILL);
-    waitpid(nodes_[i].pid, nullptr, 0);
-    nodes_[i].pid = -1;
+    const bool former = cluster_->runs_former_version(i);
+    processes_.start(i, former ? options_.former : options_.program, former ? "" : tunables());
   }
 
   Options options_;
@@ -404,8 +403,11 @@
   net::HttpClient client_;
   std::size_t cell_;
   bool refuses_ = false;  // the relay refuses requests of other cells
-  std::filesystem::path directory_;
-  std::array<Process, kNodes> nodes_;
+  ControllerProcesses processes_;
+  LoadBalancer load_balancer_;
+  std::unique_ptr<SoakFaults> soak_faults_;
+  // Each worker keeps a connection of its own, unlike users, who share client_.
+  std::unordered_map<std::string, std::unique_ptr<net::HttpClient>> worker_clients_;
   std::unique_ptr<SimulatedCluster> cluster_;
   std::vector<std::unique_ptr<net::HttpServer>> servers_;
   net::Seconds start_ = 0;
@@ -434,6 +436,14 @@
       "after 50 s the state service refuses the leader alone, jobs are cancelled, and it is down for 45 s");
   app.add_flag("--late-messages", options.late_messages,
                "delay direct commands, and send copies of heartbeats to every controller again");
+  app.add_flag("--soak", options.soak,
+               "overlapping faults until 40 s before the end; then every job must be answered within 20 s");
+  app.add_option("--workers", options.workers, "number of workers of a soak; 0: the default")
+      ->check(CLI::Range(0, 500));
+  app.add_option("--max-connections", options.max_connections, "connections that each controller may use")
+      ->check(CLI::Range(64, 10'000));
+  app.add_option("--planted-fault", options.planted_fault,
+                 "a fault of the simulated users that a check has to find");
   app.add_option("--cells", options.cells, "number of clusters, each a cell")->check(CLI::Range(1, 5));
   app.add_flag("--tell", options.tell, "print progress");
   CLI11_PARSE(app, argc, argv);
@@ -469,6 +479,9 @@
     total.accepted += own.accepted, total.started += own.started, total.finished += own.finished;
     total.with_dependencies += own.with_dependencies, total.orphaned += own.orphaned,
         total.cancelled += own.cancelled;
+    total.longest_unanswered = std::max(total.longest_unanswered, own.longest_unanswered);
+    total.longest_unanswered_beside_answers =
+        std::max(total.longest_unanswered_beside_answers, own.longest_unanswered_beside_answers);
     total.batched += own.batched, total.unfinished += own.unfinished,
         total.remote_tasks_started += own.remote_tasks_started;
   }
@@ -477,6 +490,10 @@
             << " cancelled with one, " << total.cancelled << " cancelled, " << total.batched
             << " admitted on sheets, " << total.unfinished << " left undone, " << total.remote_tasks_started
             << " tasks in another cell than their home, " << total.broken_rules.size() << " rules broken\n";
+  if (options.soak)
+    std::cout << "soak seed " << options.seed << ": longest without an answer after the last fault "
+              << total.longest_unanswered << " s, at any time beside answers "
+              << total.longest_unanswered_beside_answers << " s\n";
   if (options.tell)
     std::cout << (total.broken_rules.empty()
                       ? "The rules held: no job was lost, run twice, or told wrongly.\n"
