Soak: ports stay reserved, so that parallel runs do not take each other's

A port was chosen by binding and closing a socket, and another program could take it before a controller started, or between its kill and its restart. The socket stays bound now, without listening.

--- a/tests/controller_processes.cpp
+++ b/tests/controller_processes.cpp
@@ -11,8 +11,12 @@
 
 namespace wingtrail::simulation {
 
-std::uint16_t free_port() {
+// The socket stays bound, without listening, so the kernel assigns the port to nobody. With SO_REUSEADDR on
+// both sockets a server can still listen on it.
+std::uint16_t reserve_port() {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int enabled = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
   sockaddr_in a{};
   a.sin_family = AF_INET;
   a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -22,8 +26,6 @@
       getsockname(fd, reinterpret_cast<sockaddr*>(&a), &size) == 0) {
     port = ntohs(a.sin_port);
   }
-  if (fd >= 0)
-    close(fd);
   return port;
 }
 
@@ -36,9 +38,9 @@
   for (Controller& controller : controllers_) {
     ControllerPorts& ports = controller.ports;
     for (std::uint16_t* port : {&ports.client, &ports.peer, &ports.state, &ports.cloud, &ports.relay})
-      *port = free_port();
+      *port = reserve_port();
     for (std::uint16_t& port : ports.peer_proxies)
-      port = free_port();
+      port = reserve_port();
   }
 }
 
--- a/tests/controller_processes.hpp
+++ b/tests/controller_processes.hpp
@@ -17,8 +17,9 @@
 inline constexpr std::size_t kControllers = 3;
 inline constexpr const char* kLoopback = "127.0.0.1";
 
-/// Returns a port that nothing listened on at the time of the call; 0 on error.
-std::uint16_t free_port();
+/// Returns a port that nothing uses; 0 on error. The port stays reserved until the end of the program: no
+/// other program is given it, although a server may listen on it, stop, and listen again.
+std::uint16_t reserve_port();
 /// Returns HOST:PORT on the loopback interface.
 std::string loopback_address(std::uint16_t port);
 
--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -289,7 +289,7 @@
 
   // Starts the server of a worker and returns its address.
   std::string serve_worker(const std::string& host) {
-    const std::uint16_t port = free_port();
+    const std::uint16_t port = reserve_port();
     serve(port, [this, host](net::Request r, const SimulatedCluster::ReplyCallback& reply) {
       // A machine that hangs sends no answer; the caller's timeout ends the call.
       if (auto a = cluster_->worker_commands(host, body(r)))
