--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -15,11 +15,6 @@
 using ports::Seconds;
 namespace {
 
-// Workers are many and send heartbeats all the time; users, health checks and operators are interactive.
-net::Priority client_priority(const net::Request& request) {
-  return request.target == wire::kHeartbeatPath ? net::Priority::bulk : net::Priority::interactive;
-}
-
 // Exceeds the total time of all the calls that the controller makes, one after another, to answer a request.
 constexpr Seconds kAnswerTimeoutS = 8;
 // Range reads and watch replies of the state service may be larger than other messages.
@@ -68,9 +63,8 @@
       scope_(loop_),
       controller_(settings_, random_seed()),
       client_(scope_, connection_limit(settings_, kCallShare, 16), kMaxReplyBytes),
-      client_server_(
-          scope_, settings_.client_listen.host, settings_.client_listen.port, client_limits(settings_),
-          [this](net::Request r) { return serve_client(std::move(r)); }, client_priority),
+      client_server_(scope_, settings_.client_listen.host, settings_.client_listen.port,
+                     client_limits(settings_), [this](net::Request r) { return serve_client(std::move(r)); }),
       peer_server_(scope_, settings_.peer_listen.host, settings_.peer_listen.port, peer_limits(settings_),
                    [this](net::Request r) { return serve_peer(std::move(r)); }) {}
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -48,7 +48,7 @@
   if (has_timer_)
     loop_->timers_.erase(timer_);
   has_timer_ = false;
-  loop_->ready_[static_cast<std::size_t>(priority_)].push_back(handle_);
+  loop_->ready_.push_back(handle_);
 }
 
 void TaskScope::cancel() {
@@ -79,21 +79,6 @@
   close(fd_);
 }
 
-void Socket::on_events(std::uint32_t flags) {
-  if (flags & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
-    hung_up_ = true;
-  if (flags & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
-    readable_ = true;
-    if (reader_)
-      reader_->wake(WakeReason::ready);
-  }
-  if (flags & (EPOLLOUT | EPOLLHUP | EPOLLERR)) {
-    writable_ = true;
-    if (writer_)
-      writer_->wake(WakeReason::ready);
-  }
-}
-
 bool Socket::ReadyWaiter::await_ready() {
   const bool ready = write_ ? socket_.writable_ : socket_.readable_;
   return ready && !owner_.cancelled();
@@ -101,7 +86,6 @@
 
 void Socket::ReadyWaiter::await_suspend(std::coroutine_handle<> handle) {
   (write_ ? socket_.writer_ : socket_.reader_) = this;
-  priority_ = socket_.priority_;
   arm(socket_.loop_, owner_, deadline_, handle);
 }
 
@@ -112,11 +96,6 @@
   return owner_.cancelled() ? WakeReason::cancelled : reason_;
 }
 
-void Yield::await_suspend(std::coroutine_handle<> handle) {
-  arm(owner_.loop(), owner_, INFINITY, handle);
-  wake(WakeReason::ready);
-}
-
 EventLoop::EventLoop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), now_(steady_now()) {
   if (epoll_ < 0)
     throw std::system_error(errno, std::generic_category(), "epoll_create1");
@@ -126,74 +105,57 @@
   close(epoll_);
 }
 
-void EventLoop::resume_control() {
-  auto& control = ready_[static_cast<std::size_t>(Priority::control)];
-  while (!control.empty()) {
-    const auto handle = control.front();
-    control.pop_front();
-    handle.resume();
-  }
-}
-
-void EventLoop::resume_some(Priority priority, std::size_t limit) {
-  auto& queue = ready_[static_cast<std::size_t>(priority)];
-  for (std::size_t count = 0; count < limit && !queue.empty(); ++count) {
-    const auto handle = queue.front();
-    queue.pop_front();
-    handle.resume();
-    resume_control();
-  }
-}
-
 void EventLoop::resume_ready() {
-  // Coroutines a turn. Bulk keeps a third of the turns when users send more than the process can answer.
-  constexpr std::size_t kInteractiveLimit = 64, kBulkLimit = 32;
-  resume_control();
-  resume_some(Priority::interactive, kInteractiveLimit);
-  resume_some(Priority::bulk, kBulkLimit);
-}
-
-bool EventLoop::any_ready() const {
-  return std::any_of(ready_.begin(), ready_.end(), [](const auto& queue) { return !queue.empty(); });
-}
-
-int EventLoop::timeout_until(Seconds wake) const {
-  constexpr double kMaxWaitMs = 60'000;
-  if (!std::isfinite(wake))
-    return -1;
-  return static_cast<int>(std::clamp(std::ceil((wake - now_) * 1000.0), 0.0, kMaxWaitMs));
-}
-
-void EventLoop::collect_events(int timeout_ms) {
-  constexpr int kEventBatch = 128;
-  epoll_event events[kEventBatch];
-  int event_count = kEventBatch;
-  // All batches are collected: the event of a controller may be behind those of thousands of workers.
-  for (int timeout = timeout_ms; event_count == kEventBatch; timeout = 0) {
-    event_count = epoll_wait(epoll_, events, kEventBatch, timeout);
-    for (int i = 0; i < event_count; ++i) {
-      const SocketEntry& entry = sockets_[static_cast<std::uint32_t>(events[i].data.u64)];
-      if (entry.socket && entry.generation == events[i].data.u64 >> 32)
-        entry.socket->on_events(events[i].events);
-    }
+  while (!ready_.empty()) {
+    std::vector<std::coroutine_handle<>> batch;
+    batch.swap(ready_);
+    for (auto handle : batch)
+      handle.resume();
   }
-  refresh();
 }
 
 void EventLoop::run() {
+  constexpr int kEventBatch = 128;
+  constexpr double kMaxWaitMs = 60'000;
+  epoll_event events[kEventBatch];
   while (!stopped_) {
     resume_ready();
     Seconds wake = before_sleep_ ? before_sleep_() : INFINITY;
+    if (!ready_.empty())
+      continue;
     if (stopped_)
       break;
     if (!timers_.empty())
       wake = std::min(wake, timers_.begin()->first);
-    collect_events(any_ready() ? 0 : timeout_until(wake));
+    int timeout = -1;
+    if (std::isfinite(wake)) {
+      timeout = static_cast<int>(std::clamp(std::ceil((wake - now_) * 1000.0), 0.0, kMaxWaitMs));
+    }
+    const int event_count = epoll_wait(epoll_, events, kEventBatch, timeout);
+    refresh();
+    for (int i = 0; i < event_count; ++i) {
+      const SocketEntry& entry = sockets_[static_cast<std::uint32_t>(events[i].data.u64)];
+      Socket* socket = entry.socket;
+      if (!socket || entry.generation != events[i].data.u64 >> 32)
+        continue;
+      const std::uint32_t flags = events[i].events;
+      if (flags & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+        socket->hung_up_ = true;
+      if (flags & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+        socket->readable_ = true;
+        if (socket->reader_)
+          socket->reader_->wake(WakeReason::ready);
+      }
+      if (flags & (EPOLLOUT | EPOLLHUP | EPOLLERR)) {
+        socket->writable_ = true;
+        if (socket->writer_)
+          socket->writer_->wake(WakeReason::ready);
+      }
+    }
     while (!timers_.empty() && timers_.begin()->first <= now_)
       timers_.begin()->second->wake(WakeReason::timeout);
   }
-  while (any_ready())
-    resume_ready();
+  resume_ready();
 }
 
 }  // namespace wingtrail::net
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -2,10 +2,8 @@
 /// The event loop: epoll, timers, and the awaitables that coroutines suspend on.
 #pragma once
 
-#include <array>
 #include <coroutine>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <vector>
@@ -18,16 +16,6 @@
 /// The time of the monotonic clock, in seconds.
 Seconds steady_now();
 
-/// The order in which coroutines that are ready at the same time are resumed. In each turn of the event loop
-/// all of the first class run, and a limited number of each other class, so that no class waits behind the
-/// whole queue of another.
-enum class Priority : std::uint8_t {
-  control,      ///< other controllers, all calls of this process, timers
-  interactive,  ///< users and health checks
-  bulk,         ///< heartbeats of workers, which are many
-};
-inline constexpr std::size_t kPriorityCount = 3;
-
 /// Why a suspended coroutine was resumed.
 enum class WakeReason : std::uint8_t { ready, timeout, cancelled };
 
@@ -54,7 +42,6 @@
   EventLoop* loop_ = nullptr;
   class TaskScope* scope_ = nullptr;
   std::coroutine_handle<> handle_;
-  Priority priority_ = Priority::control;
   std::multimap<Seconds, Waiter*>::iterator timer_;
   bool has_timer_ = false, pending_ = false;
   WakeReason reason_ = WakeReason::ready;
@@ -99,13 +86,6 @@
   int fd() const {
     return fd_;
   }
-  /// The priority of coroutines that wait for this socket.
-  Priority priority() const {
-    return priority_;
-  }
-  void set_priority(Priority priority) {
-    priority_ = priority;
-  }
   /// The other side has closed the connection, or it failed.
   bool hung_up() const {
     return hung_up_;
@@ -147,12 +127,8 @@
 
  private:
   friend class EventLoop;
-  /// Records the epoll events and wakes the coroutines that wait for them.
-  void on_events(std::uint32_t flags);
-
   EventLoop& loop_;
   int fd_;
-  Priority priority_ = Priority::control;
   std::uint32_t table_index_ = 0;  ///< in the loop's table of sockets
   bool readable_ = false, writable_ = false, hung_up_ = false;
   Waiter* reader_ = nullptr;
@@ -178,25 +154,6 @@
   Seconds until_;
 };
 
-/// Suspends a coroutine until its priority's turn, so that it does not run before others that are already
-/// queued.
-class Yield : public Waiter {
- public:
-  Yield(TaskScope& scope, Priority priority) : owner_(scope) {
-    priority_ = priority;
-  }
-  bool await_ready() const {
-    return false;
-  }
-  void await_suspend(std::coroutine_handle<> handle);
-  WakeReason await_resume() const {
-    return reason_;
-  }
-
- private:
-  TaskScope& owner_;
-};
-
 /// A value that is set once and that one coroutine waits for. The wait returns no value if the deadline
 /// passes or the scope is cancelled first.
 template <typename T>
@@ -267,20 +224,13 @@
  private:
   friend class Waiter;
   friend class Socket;
-  /// Runs one turn: all ready coroutines of the class `control`, and a limited number of each other class.
   void resume_ready();
-  void resume_control();
-  void resume_some(Priority priority, std::size_t limit);
-  bool any_ready() const;
-  /// Waits up to `timeout_ms` for events (-1: without limit) and wakes the waiters of all that have occurred.
-  void collect_events(int timeout_ms);
-  int timeout_until(Seconds wake) const;
 
   int epoll_ = -1;
   Seconds now_ = 0;
   bool stopped_ = false;
   std::multimap<Seconds, Waiter*> timers_;
-  std::array<std::deque<std::coroutine_handle<>>, kPriorityCount> ready_;
+  std::vector<std::coroutine_handle<>> ready_;
   // While a batch of events is handled, a coroutine may close a socket whose event is later in the batch, and
   // another may open a socket in the same entry. The generation tells the two sockets apart.
   struct SocketEntry {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -60,13 +60,8 @@
 }
 
 HttpServer::HttpServer(TaskScope& scope, std::string host, std::uint16_t port, ServerLimits limits,
-                       Handler handler, Classifier classify)
-    : scope_(scope),
-      host_(std::move(host)),
-      port_(port),
-      limits_(limits),
-      handler_(std::move(handler)),
-      classify_(std::move(classify)) {}
+                       Handler handler)
+    : scope_(scope), host_(std::move(host)), port_(port), limits_(limits), handler_(std::move(handler)) {}
 
 std::optional<std::string> HttpServer::listen() {
   const std::string endpoint = host_ + ":" + std::to_string(port_);
@@ -85,7 +80,6 @@
     return error;
   }
   listener_ = std::make_unique<Socket>(scope_.loop(), fd);
-  listener_->set_priority(classify_ ? Priority::interactive : Priority::control);
   accept_loop();
   return std::nullopt;
 }
@@ -114,20 +108,9 @@
   }
 }
 
-Task<bool> HttpServer::wait_for_turn(Socket& socket, const Request& request) {
-  const Priority priority = classify_ ? classify_(request) : Priority::control;
-  if (priority != socket.priority()) {
-    socket.set_priority(priority);
-    co_await Yield(scope_, priority);
-  }
-  co_return !scope_.cancelled();
-}
-
 DetachedTask HttpServer::serve(int fd) {
   ++open_;
   Socket socket(scope_.loop(), fd);
-  if (classify_)
-    socket.set_priority(Priority::interactive);
   HttpParser parser(HTTP_REQUEST, limits_.max_header, limits_.max_body);
   while (!scope_.cancelled()) {
     parser.reset(HTTP_REQUEST);
@@ -143,8 +126,6 @@
     }
     Request request{http_method_str(static_cast<http_method>(parser.parser.method)), std::move(parser.target),
                     std::move(parser.body)};
-    if (!co_await wait_for_turn(socket, request))
-      break;
     const Response response = co_await handler_(std::move(request));
     if (scope_.cancelled())
       break;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -30,12 +30,8 @@
  public:
   /// Returns the response to one request.
   using Handler = std::function<Task<Response>(Request)>;
-  /// Returns the priority of a connection from the latest request on it.
-  using Classifier = std::function<Priority(const Request&)>;
-  /// Opens no socket yet; `host` is an IPv4 address. The scope must outlive the server. Without `classify`,
-  /// all connections have the priority `control`.
-  HttpServer(TaskScope& scope, std::string host, std::uint16_t port, ServerLimits limits, Handler handler,
-             Classifier classify = {});
+  /// Opens no socket yet; `host` is an IPv4 address. The scope must outlive the server.
+  HttpServer(TaskScope& scope, std::string host, std::uint16_t port, ServerLimits limits, Handler handler);
   /// Starts to accept connections. Returns an error text if the listening socket cannot be opened.
   std::optional<std::string> listen();
   /// The number of open connections.
@@ -46,15 +42,12 @@
  private:
   DetachedTask accept_loop();
   DetachedTask serve(int fd);
-  /// Gives the connection the priority of its latest request, and waits for the turn of that priority.
-  Task<bool> wait_for_turn(Socket& socket, const Request& request);
 
   TaskScope& scope_;
   std::string host_;
   std::uint16_t port_;
   ServerLimits limits_;
   Handler handler_;
-  Classifier classify_;
   std::unique_ptr<Socket> listener_;
   std::size_t open_ = 0;
 };
