Queries: a comparison that fails without naming a key says nothing about a job

The comparison of many jobs took a 409 whose body names no key for one in which no key exists, and could go on to answer 404. The lookup of a single job never did. Such a reply counts as no reply now, and users are asked to come back.

QueryLookupQueueTest.AComparisonThatFailsWithoutNamingAKeyDoesNotMakeAJobAbsent fails with: the job is looked for in the batches, which is the step before 404.

--- a/src/controller/query_lookup_queue.cpp
+++ b/src/controller/query_lookup_queue.cpp
@@ -144,16 +144,17 @@
   --groups_in_flight_;
   if (reply.status == kStatusThrottled)
     return retry_later(group);
-  if (reply.status != kStatusConditionsHold && reply.status != kStatusConditionsFail) {
-    for (const EntryPtr& entry : group)
-      entry->lookup.then({LookupOutcome::unavailable});
-    return send_waiting();
-  }
   std::set<std::string> existing;
   if (reply.status == kStatusConditionsFail) {
     for (std::string& key : wire::failed_keys(reply.body))
       existing.insert(std::move(key));
   }
+  // A failed comparison that names no key shows nothing about any of the jobs.
+  if (reply.status != kStatusConditionsHold && existing.empty()) {
+    for (const EntryPtr& entry : group)
+      entry->lookup.then({LookupOutcome::unavailable});
+    return send_waiting();
+  }
   for (const EntryPtr& entry : group) {
     const std::string& ref = entry->lookup.ref;
     const auto batch_key = batch_keys.find(ref);
--- a/tests/query_lookup_queue_test.cpp
+++ b/tests/query_lookup_queue_test.cpp
@@ -63,8 +63,11 @@
     comparisons.push_back(compared);
     reply.status = failed.empty() ? 200 : 409;
     reply.body = failed.empty() ? wire::Value{{"ledgerRev", 1}} : wire::Value{{"failed", failed}};
+    if (conflicts_without_keys)
+      reply.status = 409, reply.body = wire::Value::object();
   }
   void read(const ports::Call& call, ports::Reply& reply) {
+    ++reads;
     const auto key = keys.find(call.path.substr(std::string("/kv/").size()));
     reply.status = key == keys.end() ? 404 : 200;
     if (key != keys.end())
@@ -87,6 +90,8 @@
   std::map<std::string, LookupOutcome> outcomes;
   std::map<std::string, wire::Phase> phases;
   std::vector<std::vector<std::string>> comparisons;
+  int reads = 0;
+  bool conflicts_without_keys = false;  // comparisons fail without naming a key
 };
 
 std::string ref_of(int number) {
@@ -139,6 +144,14 @@
   EXPECT_EQ(outcomes[ref_of(3)], LookupOutcome::unavailable);
 }
 
+TEST_F(QueryLookupQueueTest, AComparisonThatFailsWithoutNamingAKeyDoesNotMakeAJobAbsent) {
+  conflicts_without_keys = true;
+  look_up(ref_of(1), 0);
+  run_until(0.05);
+  EXPECT_EQ(outcomes[ref_of(1)], LookupOutcome::unavailable);
+  EXPECT_EQ(reads, 0) << "the job was taken for one without a key, and looked for in the batches";
+}
+
 TEST_F(QueryLookupQueueTest, LookupsAreGivenUpWhenTheirUsersHaveLeft) {
   settings.state_requests_per_s = 0;
   client.set_leading(false);
