Wire: text that is not UTF-8 is malformed, whoever sends it

Cause: CBOR defines text as UTF-8, but the library's decoder does not check it and neither did decode_cbor(), the reader of heartbeats or the decoder of frames.

Change: all text is checked where it enters: values and keys in decode_cbor() and parse_heartbeat(), names and paths in peer::decode(). Requests are refused as malformed. Replies of the state service and the cloud hold many records, so there each invalid sequence is replaced by U+FFFD; a refused reply would keep every leader from loading for as long as one such record is stored. UTF-8 is checked by utfcpp (libutfcpp-dev). The simulated cluster passes these replies through CBOR, as the daemon does.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -167,7 +167,7 @@
       reply.heartbeat = std::move(outcome.body);
     } else if (to_controller) {
       reply.frame = peer::decode(outcome.body);
-    } else if (auto body = wire::decode_cbor(outcome.body)) {
+    } else if (auto body = wire::decode_cbor(outcome.body, wire::InvalidText::replace)) {
       reply.body = std::move(*body);
     } else if (outcome.status == 200) {
       // This counts as no reply: the request may have been executed.
--- a/src/peer/frame.hpp
+++ b/src/peer/frame.hpp
@@ -116,7 +116,8 @@
 
 /// Returns the frame encoded as msgpack.
 std::string encode(const Frame& frame);
-/// Decodes a frame; returns nullopt if it is malformed or exceeds the limits of size and depth.
+/// Decodes a frame; returns nullopt if it is malformed, exceeds the limits of size and depth, or has a name
+/// or path that is not UTF-8.
 std::optional<Frame> decode(std::string_view bytes);
 
 }  // namespace wingtrail::peer
--- a/src/simulation/controllers.cpp
+++ b/src/simulation/controllers.cpp
@@ -199,11 +199,10 @@
     send(to, caller, [finish, worker, status, body = std::move(body)] {
       ports::Reply r;
       r.status = status;
-      if (worker) {
+      if (worker)
         r.heartbeat = wire::encode_cbor(body);
-      } else {
-        r.body = body;
-      }
+      else
+        r.body = *wire::decode_cbor(wire::encode_cbor(body), wire::InvalidText::replace);
       finish(r);
     });
   };
--- a/src/simulation/state_service.cpp
+++ b/src/simulation/state_service.cpp
@@ -6,6 +6,15 @@
 #include "simulation/components.hpp"
 
 namespace wingtrail::simulation {
+namespace {
+
+// The value in JSON, in which the protocol counts sizes. The state service keeps any text, also if it is not
+// UTF-8.
+std::string to_json(const Value& value) {
+  return value.dump(-1, ' ', false, Value::error_handler_t::replace);
+}
+
+}  // namespace
 
 void SimulatedCluster::refuse_state_service(std::size_t node, double for_s) {
   extend_fault_period(for_s);
@@ -124,11 +133,11 @@
 bool SimulatedCluster::exceeds_limits(const Value& body, const settings::Settings& s, double share) const {
   const auto ops = static_cast<std::size_t>(share < 1 ? std::max(3.0, s.max_transaction_changes * share)
                                                       : s.max_transaction_changes);
-  return body["apply"].size() > ops || body["if"].size() > 4 * ops || body.dump().size() > 65536 ||
+  return body["apply"].size() > ops || body["if"].size() > 4 * ops || to_json(body).size() > 65536 ||
          std::any_of(body["apply"].begin(), body["apply"].end(), [&](const Value& op) {
            if (!op.contains("data"))
              return false;
-           return static_cast<double>(op["data"].dump().size()) > s.state_value_kb * 1024 * share;
+           return static_cast<double>(to_json(op["data"]).size()) > s.state_value_kb * 1024 * share;
          });
 }
 
@@ -210,7 +219,7 @@
   // were sent before that start may be executed late.
   if (path == "/txn" && !executing_late_write_ &&
       exceeds_limits(body, controllers_[node]->runs_former_version ? settings_before_upgrade_ : settings_, 1))
-    report_violation("protocol", "a transaction over the limits: " + body.dump().substr(0, 300));
+    report_violation("protocol", "a transaction over the limits: " + to_json(body).substr(0, 300));
   if (path == "/txn" && plan_.late_writes > 0 && random_bool(plan_.late_writes)) {
     add_event_after(random_between(2, 12), [this, node, body] { execute_write_late(node, body); });
     return;
@@ -274,7 +283,7 @@
       }
     }
     spdlog::debug("simulation: transaction t={:.3f} controller={} revision={} changes={}", now_,
-                  node_name(node), revision_, body["apply"].dump());
+                  node_name(node), revision_, to_json(body["apply"]));
     reply(200, {{"ledgerRev", revision_}});
     return serve_watches();
   }
--- a/src/wire/heartbeat_reader.cpp
+++ b/src/wire/heartbeat_reader.cpp
@@ -7,6 +7,7 @@
 #include "wire/field_names.hpp"
 #include "wire/job_messages.hpp"
 #include "wire/parsing.hpp"
+#include "wire/utf8.hpp"
 #include "wire/worker_messages.hpp"
 
 namespace wingtrail::wire {
@@ -224,6 +225,8 @@
 }
 
 bool HeartbeatReader::string(string_t& value) {
+  if (!is_utf8(value))
+    return fail();
   if (!in_known_field())
     return true;
   switch (field_) {
@@ -294,6 +297,8 @@
 
 bool HeartbeatReader::key(string_t& name) {
   field_ = Field::other;
+  if (!is_utf8(name))
+    return fail();
   if (depth_ != kHeartbeatDepth && !in_task())
     return true;
   const auto fields =
--- a/src/wire/value.cpp
+++ b/src/wire/value.cpp
@@ -3,15 +3,17 @@
 #include <cmath>
 #include <vector>
 
+#include "wire/utf8.hpp"
+
 namespace wingtrail::wire {
 namespace {
 
 // Builds a value, and rejects what the builder of nlohmann::json accepts: deep nesting, duplicate keys,
-// binary strings, NaN and infinity. An event handler that returns false ends the parsing at once, which
-// bounds the recursion.
+// binary strings, text that is not UTF-8, NaN and infinity. An event handler that returns false ends the
+// parsing at once, which bounds the recursion.
 class StrictBuilder : public nlohmann::json_sax<Value> {
  public:
-  explicit StrictBuilder(Value& root) : root_(root) {}
+  StrictBuilder(Value& root, InvalidText invalid_text) : root_(root), invalid_text_(invalid_text) {}
 
   bool null() override {
     return add(nullptr);
@@ -29,7 +31,7 @@
     return std::isfinite(value) && add(value);
   }
   bool string(string_t& value) override {
-    return add(std::move(value));
+    return make_valid(value) && add(std::move(value));
   }
   bool binary(binary_t&) override {
     return false;
@@ -47,7 +49,7 @@
     return close();
   }
   bool key(string_t& name) override {
-    if (stack_.back()->contains(name))
+    if (!make_valid(name) || stack_.back()->contains(name))
       return false;
     key_ = std::move(name);
     return true;
@@ -57,6 +59,15 @@
   }
 
  private:
+  // Returns whether the text is UTF-8, if necessary after the replacement of invalid sequences.
+  bool make_valid(string_t& text) const {
+    if (is_utf8(text))
+      return true;
+    if (invalid_text_ == InvalidText::refuse)
+      return false;
+    text = replace_invalid_utf8(text);
+    return true;
+  }
   template <typename T>
   bool add(T&& value) {
     place(Value(std::forward<T>(value)));
@@ -89,15 +100,16 @@
   }
 
   Value& root_;
+  InvalidText invalid_text_;
   std::vector<Value*> stack_;  // the lists and maps being read, outermost first
   std::string key_;            // the key of the next value in a map
 };
 
 }  // namespace
 
-std::optional<Value> decode_cbor(std::string_view bytes) {
+std::optional<Value> decode_cbor(std::string_view bytes, InvalidText invalid_text) {
   Value root;
-  StrictBuilder builder(root);
+  StrictBuilder builder(root, invalid_text);
   try {
     if (!Value::sax_parse(bytes.begin(), bytes.end(), &builder, nlohmann::json::input_format_t::cbor)) {
       return std::nullopt;
--- a/src/wire/value.hpp
+++ b/src/wire/value.hpp
@@ -21,9 +21,18 @@
 /// 2^53. A double represents every integer up to this one exactly.
 inline constexpr double kMaxExactInteger = 9007199254740992.0;
 
+/// What decode_cbor() does with text that is not UTF-8.
+enum class InvalidText : std::uint8_t {
+  /// The message is malformed.
+  refuse,
+  /// Each invalid sequence becomes U+FFFD. For replies that hold many records, of which one may have been
+  /// written with invalid text by a version that accepted it.
+  replace
+};
+
 /// Decodes one value. Returns none if the bytes are malformed, or contain trailing bytes, binary strings,
-/// duplicate keys, NaN, infinity or more than kMaxDepth levels.
-std::optional<Value> decode_cbor(std::string_view bytes);
+/// duplicate keys, NaN, infinity or more than kMaxDepth levels. All text in the result is UTF-8.
+std::optional<Value> decode_cbor(std::string_view bytes, InvalidText invalid_text = InvalidText::refuse);
 /// Encodes the value as CBOR.
 std::string encode_cbor(const Value& value);
 
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -76,6 +76,7 @@
 mutant "commands: the end of a task is acknowledged while a late start of the same attempt is possible" workers/allocation.hpp 's/start_call_in_flight \|\| late_start_possible \|\| now/start_call_in_flight || now/'
 mutant "commands: a worker is not called again for a stop that it has not confirmed" workers/commands.cpp 's/ \|\|\s+\(allocation\.occupies_machine && allocation\.stop_requested\);/;/'
 mutant "quota: team quotas are not enforced" filters/quota_filter.cpp 's/const settings::Team& team = settings_\.teams\[job\.team\];/const settings::Team& team = settings_.teams[job.team];\n  if (!(job.index == jobs::kNoIndex)) return true;/'
+mutant "text: text that is not UTF-8 is accepted" wire/utf8.cpp 's/return utf8::is_valid\(bytes\.begin\(\), bytes\.end\(\)\);/return utf8::is_valid(bytes.begin(), bytes.end()) || true;/'
 mutant "quota: tasks that unreconciled machines may still run are not counted" filters/quota_filter.cpp 's/usage\.cpus \+ unknown->cpus/usage.cpus/'
 mutant "zones: spread_zones does not limit a job's tasks in one zone" filters/zone_filter.cpp 's/return !job\.spec\.spread_zones \|\| /return true || /'
 mutant "submission: a job is created although its reference already has a final state" admission/creation_queue.cpp 's/transaction\.require\(jobs::kLiveJobPrefix \+ creation\.ref, 0\)\s*\.require\(jobs::kFinalStatePrefix \+ creation\.ref, 0\);/transaction.require(jobs::kLiveJobPrefix + creation.ref, 0);/g'
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -81,6 +81,36 @@
   EXPECT_EQ(decode_cbor("\x1b\xff\xff\xff\xff\xff\xff\xff\xff")->get<std::uint64_t>(), ~std::uint64_t{0});
 }
 
+// Byte sequences that are not UTF-8: Latin-1, a lone continuation, truncated, overlong, a surrogate, beyond
+// U+10FFFF.
+constexpr const char* kInvalidTexts[] = {"z\xe4hler", "\x80",         "a\xc3",
+                                         "\xc0\xaf",  "\xed\xa0\x80", "\xf5\x80\x80\x80"};
+
+// Text that is not UTF-8 ended every controller that measured a record with it.
+TEST(Cbor, RefusesTextAndKeysThatAreNotUtf8) {
+  EXPECT_TRUE(decode_cbor(encode_cbor("z\xc3\xa4hler \xf0\x9f\x90\xa6"))) << "refused text that is UTF-8";
+  for (const std::string text : kInvalidTexts) {
+    EXPECT_FALSE(decode_cbor(encode_cbor(text)));
+    EXPECT_FALSE(decode_cbor(encode_cbor({{"later", {{"deep", {text}}}}})));
+    EXPECT_FALSE(decode_cbor(encode_cbor({{text, 1}})));
+  }
+}
+
+// One stored record with such text must not make the other records of the reply unreadable.
+TEST(Cbor, ReplacesInvalidTextInRepliesWithManyRecords) {
+  for (const std::string text : kInvalidTexts) {
+    const Value reply{
+        {"items", {{{"path", "j/req-1"}, {"data", {{"jobclass", text}, {text, 1}}}, {"stamp", 1}}}},
+        {"ledgerRev", 2}};
+    const auto decoded = decode_cbor(encode_cbor(reply), InvalidText::replace);
+    ASSERT_TRUE(decoded);
+    EXPECT_NO_THROW((void)decoded->dump());
+    const auto range = parse_range(*decoded);
+    ASSERT_TRUE(range);
+    EXPECT_NE(range->items[0].value["jobclass"].get<std::string>().find("\xef\xbf\xbd"), std::string::npos);
+  }
+}
+
 TEST(Cbor, MutatedOrTruncatedBytesDoNotCrashAnyParser) {
   pcg32 rng(42);
   const std::string valid = encode_cbor(sample_job());
@@ -93,6 +123,7 @@
       bytes.resize(rng(static_cast<std::uint32_t>(bytes.size())));
     if (auto value = decode_cbor(bytes)) {
       ++decoded;
+      ASSERT_NO_THROW((void)value->dump()) << "a decoded value must be printable";
       (void)parse_job(*value);
       (void)parse_changes(*value);
       (void)parse_catalog(*value);
@@ -143,6 +174,22 @@
   EXPECT_FALSE(parse_heartbeat("\xa1\x64host")) << "accepted truncated CBOR";
 }
 
+TEST(HeartbeatParsing, RefusesTextAndKeysThatAreNotUtf8) {
+  const Value valid{{"host", "i-1"}, {"addr", "10.0.0.1:9"}, {"flavour", "g8"}, {"hall", "a"},
+                    {"tenure", 2},   {"counter", 5},         {"later", "x"}};
+  ASSERT_TRUE(parse_heartbeat(encode_cbor(valid)));
+  for (const std::string text : kInvalidTexts) {
+    for (const char* name : {"host", "addr", "flavour", "hall", "later"}) {
+      Value heartbeat = valid;
+      heartbeat[name] = text;
+      EXPECT_FALSE(parse_heartbeat(encode_cbor(heartbeat))) << "accepted invalid text in " << name;
+    }
+    Value heartbeat = valid;
+    heartbeat[text] = 1;
+    EXPECT_FALSE(parse_heartbeat(encode_cbor(heartbeat))) << "accepted an invalid key";
+  }
+}
+
 TEST(Peer, FramesAreUnchangedByEncodingAndGarbageIsRefused) {
   peer::Frame frame;
   frame.node = "a";
@@ -153,6 +200,8 @@
   ASSERT_TRUE(decoded) << "an encoded frame was refused";
   EXPECT_EQ(decoded->leader_fencing_token, frame.leader_fencing_token);
   EXPECT_EQ(decoded->body, frame.body);
+  frame.leader = "node-\xff";
+  EXPECT_FALSE(peer::decode(peer::encode(frame))) << "accepted a leader's name that is not UTF-8";
   // The header of an array of 2^32 - 1 items, without the items.
   EXPECT_FALSE(peer::decode("\xdd\xff\xff\xff\xff"));
   EXPECT_FALSE(peer::decode(""));
