Teams: a job of a team that the settings do not name waits, instead of ending the leader

Cause: JobRegistry::add kept kNoIndex for such a team, and it was a subscript of the settings' teams and of the teams' usage in seven places. A record is written by a controller with other settings than its reader's.

Change: a team that only records name gets an index of its own, and what the settings say of a team is asked by Settings::find_team(), which returns null for it. TeamFilter starts none of its tasks, since its limit is not known; what runs goes on and counts; queries, cancellations and final states do not need the team. One warning line and the waiting reason "team" say so.

--- a/src/autoscaling/scale_out.cpp
+++ b/src/autoscaling/scale_out.cpp
@@ -173,7 +173,7 @@
 // machine types or zones may run and that has waited for too long.
 void Autoscaler::scale_out_for_job(const jobs::Job& job) {
   if (!job.is_open() || job.pending_tasks.empty() || out_.now() - job.eligible_since < 1 ||
-      out_.now() < job.not_before)
+      out_.now() < job.not_before || !settings_.find_team(job.team))
     return;
   // A gang needs capacity for all its tasks at once, in one zone if its tasks must share a zone.
   const double needed_tasks = job.is_gang() ? static_cast<double>(job.pending_tasks.size()) : 1;
--- a/src/controller/leadership.cpp
+++ b/src/controller/leadership.cpp
@@ -311,7 +311,12 @@
   const auto origin_cell = wire::text(value, jobs::kOriginCellField);
   if (origin_cell)
     spec->priority = wire::Priority::low;  // a foreign job yields to all jobs of this cell
+  const std::size_t known_teams = registry_.teams.size();
   jobs::Job& job = registry_.add(*spec, version, submitted_at ? to_steady_time(*submitted_at) : out_.now());
+  if (registry_.teams.size() > known_teams)
+    spdlog::warn(
+        "load: job of a team that the settings do not name, its tasks are not started ref={} team={}",
+        spec->ref, spec->team);
   if (origin_cell)
     job.origin_cell = *origin_cell;
   return &job;
--- a/src/filters/filter_chain.cpp
+++ b/src/filters/filter_chain.cpp
@@ -5,6 +5,7 @@
 
 #include "filters/dependency_filter.hpp"
 #include "filters/failure_filter.hpp"
+#include "filters/team_filter.hpp"
 
 namespace wingtrail::filters {
 
@@ -12,6 +13,7 @@
                          const workers::WorkerManager& workers, const balancing::LoadSnapshot& load,
                          std::function<std::uint64_t()> fencing_token) {
   add<DependencyFilter>();
+  add<TeamFilter>(settings);
   add<FailureFilter>(out);
   cells_ = add<CellFilter>();
   reconciled_ = add<ReconciledFilter>(workers, std::move(fencing_token));
--- a/src/filters/quota_filter.hpp
+++ b/src/filters/quota_filter.hpp
@@ -27,7 +27,7 @@
   bool admits_tasks(const Job& job, double tasks) const;
 
  private:
-  double reserved_for_services(const Job& job) const;
+  double reserved_for_services(const Job& job, const settings::Team& team) const;
 
   const ports::Outbox& out_;
   const settings::Settings& settings_;
--- a/src/jobs/job_registry.cpp
+++ b/src/jobs/job_registry.cpp
@@ -15,7 +15,7 @@
   auto job = std::make_unique<Job>();
   job->index = JobIndex(jobs_.size());
   job->spec = spec;
-  job->team = teams.find(spec.team);
+  job->team = teams.add(spec.team);
   job->image = images.add(spec.image);
   if (image_gb_.size() <= job->image)
     image_gb_.resize(job->image + 1);
--- a/src/jobs/job_registry.hpp
+++ b/src/jobs/job_registry.hpp
@@ -23,6 +23,7 @@
  public:
   explicit JobRegistry(const settings::Settings& settings);
 
+  /// The teams of the settings in their order, then those that only job records name.
   NameTable<TeamIndex> teams;
   NameTable<ImageIndex> images;
   NameTable<ClassIndex> classes;
--- a/src/scheduling/demand_forecast.cpp
+++ b/src/scheduling/demand_forecast.cpp
@@ -54,8 +54,8 @@
 
 std::vector<double> DemandForecast::quota_left() const {
   constexpr double kUnlimited = 1e12;
-  std::vector<double> left(settings_.teams.size());
-  for (std::size_t i = 0; i < left.size(); ++i) {
+  std::vector<double> left(registry_.teams.size(), 0);
+  for (std::size_t i = 0; i < settings_.teams.size(); ++i) {
     const settings::Team& team = settings_.teams[i];
     left[i] = team.cpus_max > 0 ? std::max(0.0, team.cpus_max - workers_.team_usage(TeamIndex(i)).cpus)
                                 : kUnlimited;
--- a/src/scheduling/eligibility.cpp
+++ b/src/scheduling/eligibility.cpp
@@ -13,10 +13,19 @@
 bool Scheduler::within_guarantee(const Job& job) const {
   if (!job.origin_cell.empty())
     return false;  // a foreign job has no guarantee in this cell
-  const settings::Team& team = settings_.teams[job.team];
+  const settings::Team* team = settings_.find_team(job.team);
+  if (!team)
+    return false;
   const wire::Resources& usage = workers_.team_usage(job.team);
-  return usage.cpus + job.spec.task_resources.cpus <= team.cpus + kEps &&
-         usage.gpus + job.spec.task_resources.gpus <= team.gpus + kEps;
+  return usage.cpus + job.spec.task_resources.cpus <= team->cpus + kEps &&
+         usage.gpus + job.spec.task_resources.gpus <= team->gpus + kEps;
+}
+
+// Whether the tasks of the job's team use more than its guarantee. The guarantee of a team that the settings
+// do not name is unknown, and its tasks are left running.
+bool Scheduler::exceeds_guarantee(const Job& job) const {
+  const settings::Team* team = settings_.find_team(job.team);
+  return team && workers_.team_usage(job.team).cpus > team->cpus + kEps;
 }
 
 bool Scheduler::has_startable_task(const Job& job) const {
--- a/src/scheduling/preemption.cpp
+++ b/src/scheduling/preemption.cpp
@@ -147,11 +147,10 @@
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& a, const Candidate& b) { return a.running_since > b.running_since; });
   std::size_t stopped = 0;
-  const settings::Team& team = settings_.teams[victim.team];
   for (const Candidate& candidate : candidates) {
     if (!within_guarantee(job) || !has_startable_task(job))
       break;
-    if (workers_.team_usage(victim.team).cpus <= team.cpus + kEps)
+    if (!exceeds_guarantee(victim))
       break;
     Machine& machine = workers_.machine_at(candidate.machine);
     if (!can_start_on(machine, job, true))
@@ -194,13 +193,13 @@
       continue;
     if (fails_everywhere(*job))
       continue;
-    if (settings_.teams[job->team].cpus <= 0 && settings_.teams[job->team].gpus <= 0)
+    const settings::Team* team = settings_.find_team(job->team);
+    if (!team || (team->cpus <= 0 && team->gpus <= 0))
       continue;
     if (!victims) {
       victims.emplace();
       registry_.for_each([&](Job& other) {
-        if (other.placed_tasks > 0 && !other.is_service() &&
-            workers_.team_usage(other.team).cpus > settings_.teams[other.team].cpus + kEps)
+        if (other.placed_tasks > 0 && !other.is_service() && exceeds_guarantee(other))
           victims->push_back(&other);
       });
       std::sort(victims->begin(), victims->end(),
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -145,6 +145,7 @@
   bool has_startable_task(const Job& job) const;
   bool can_start_on(const Machine& machine, const Job& job, bool ignore_capacity = false) const;
   bool within_guarantee(const Job& job) const;
+  bool exceeds_guarantee(const Job& job) const;
   bool gang_fits(const Job& job);
   bool fails_everywhere(const Job& job) const;
   std::unordered_map<MachineIndex, std::uint32_t> sample_machines(const Job& job, std::uint32_t probes);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -77,6 +77,11 @@
   std::vector<Peer> peers;
   std::vector<std::string> zones;
   std::vector<Team> teams;
+  /// Returns the team at this position of `teams`; null beyond its end. The registry of jobs numbers the
+  /// teams that only records name behind those of the settings.
+  const Team* find_team(std::size_t position) const {
+    return position < teams.size() ? &teams[position] : nullptr;
+  }
   std::vector<Objective> objectives;
   double heartbeat_interval_s = 3, worker_lease_s = 30, cancellation_limit_s = 60;
   /// Limits of the state service: the lower of the present limit and that of `state.next`, which takes
--- a/src/workers/allocations.cpp
+++ b/src/workers/allocations.cpp
@@ -69,7 +69,7 @@
   allocation.resources = job.spec.task_resources;
   if (!allocation.stops_immediately())
     add_resources(machine.used, allocation.resources, 1);
-  add_resources(team_usage_[job.team], allocation.resources, 1);
+  add_team_usage(job.team, allocation.resources, 1);
   registry_.place_task(job, task, machine.index, machine.zone);
   if (allocation.phase == Allocation::Phase::running) {
     allocation.running_since = out_.now();
@@ -112,7 +112,7 @@
       continue;
     if (!allocation.stops_immediately())
       add_resources(machine.used, allocation.resources, -1);
-    add_resources(team_usage_[job.team], allocation.resources, -1);
+    add_team_usage(job.team, allocation.resources, -1);
     allocation.job = kNoIndex;
     allocation.resources = {};
     add_stray(machine, allocation);
@@ -131,7 +131,7 @@
   // stop_task() has already released the machine's resources if the task stops immediately.
   if (!allocation.stops_immediately())
     add_resources(machine.used, allocation.resources, -1);
-  add_resources(team_usage_[registry_.job_at(allocation.job)->team], allocation.resources, -1);
+  add_team_usage(registry_.job_at(allocation.job)->team, allocation.resources, -1);
 }
 
 // Removes an allocation that the worker no longer has, in whichever phase it was.
--- a/src/workers/commands.cpp
+++ b/src/workers/commands.cpp
@@ -48,7 +48,7 @@
   allocation.resources = job.spec.task_resources;
   allocation.requested_at = out_.now();
   add_resources(machine.used, allocation.resources, 1);
-  add_resources(team_usage_[job.team], allocation.resources, 1);
+  add_team_usage(job.team, allocation.resources, 1);
   registry_.place_task(job, task, machine.index, machine.zone);
   machine.allocations.push_back(std::move(allocation));
   machine.idle_since = 0;
--- a/src/workers/worker_manager.cpp
+++ b/src/workers/worker_manager.cpp
@@ -27,9 +27,7 @@
       state_writer_(state_writer),
       leadership_(std::move(leadership)),
       events_(std::move(events)),
-      zones_(settings.heartbeat_interval_s, settings.worker_lease_s, settings.tunables.zone_tracking != 0) {
-  team_usage_.resize(settings.teams.size());
-}
+      zones_(settings.heartbeat_interval_s, settings.worker_lease_s, settings.tunables.zone_tracking != 0) {}
 
 // ---------------------------------------------------------------- leadership
 
@@ -63,7 +61,7 @@
   unreconciled_.clear();
   calls_in_flight_ = 0;
   strays_.clear();
-  team_usage_.assign(settings_.teams.size(), {});
+  team_usage_.clear();
 }
 
 void WorkerManager::set_catalog(const std::vector<wire::MachineType>& catalog) {
@@ -224,6 +222,17 @@
   }
 }
 
+const wire::Resources& WorkerManager::team_usage(TeamIndex team) const {
+  static const wire::Resources kNone;
+  return team < team_usage_.size() ? team_usage_[team] : kNone;
+}
+
+void WorkerManager::add_team_usage(TeamIndex team, const wire::Resources& resources, double sign) {
+  if (team_usage_.size() <= team)
+    team_usage_.resize(team + 1);
+  add_resources(team_usage_[team], resources, sign);
+}
+
 void WorkerManager::reserve_resources(Machine& machine, const wire::Resources& need, double sign) {
   add_resources(machine.used, need, sign);
   mark_changed(machine);
--- a/src/workers/worker_manager.hpp
+++ b/src/workers/worker_manager.hpp
@@ -140,9 +140,7 @@
   /// acknowledgement and then stop listing the tasks in their heartbeats.
   void on_completions_persisted(const std::vector<jobs::StateWriter::CompletedTask>& ended);
   /// The resources that the team's allocations occupy.
-  const wire::Resources& team_usage(TeamIndex team) const {
-    return team_usage_[team];
-  }
+  const wire::Resources& team_usage(TeamIndex team) const;
 
   // ---- placement
 
@@ -275,6 +273,7 @@
   void complete_task(Machine& machine, Allocation& allocation, jobs::Job& job);
   void release_placement(jobs::Job& job, std::uint32_t task);
   void release_allocation(Machine& machine, Allocation& allocation);
+  void add_team_usage(TeamIndex team, const wire::Resources& resources, double sign);
   void drop_allocation(Machine& machine, std::size_t position);
   void end_incarnation(Machine& machine);
 
@@ -340,7 +339,7 @@
   std::vector<MachineIndex> stale_index_entries_;  // machines that changed since the index was updated
 
   std::vector<Allocation> ended_allocations_;  // ended by the heartbeat that is being processed
-  std::vector<wire::Resources> team_usage_;    // by team index
+  std::vector<wire::Resources> team_usage_;    // by team index; a team beyond its end uses nothing
   StrayInstances strays_;
   UnreconciledMachines unreconciled_;
 
--- a/tests/untrusted_input_test.cpp
+++ b/tests/untrusted_input_test.cpp
@@ -72,5 +72,80 @@
   expect_no_broken_rules(cluster);
 }
 
+// Restarts the controllers one after the other with changed settings, the leader last.
+void change_settings_everywhere(SimulatedCluster& cluster,
+                                const std::function<void(settings::Settings&)>& change) {
+  constexpr double kBetweenRestartsS = 15;
+  const std::size_t leader = cluster.leader().value_or(0);
+  for (std::size_t offset = 1; offset <= cluster.nodes(); ++offset) {
+    const bool first = offset == 1;
+    cluster.restart_with([&](settings::Settings& settings) { first ? change(settings) : void(); },
+                         (leader + offset) % cluster.nodes());
+    cluster.step(cluster.now() + kBetweenRestartsS);
+  }
+}
+
+// The team's index was a subscript of the leader's settings, which lacked the team: every leader with the old
+// settings ended.
+TEST(UntrustedInput, ALeaderHoldsJobsOfATeamThatOnlyItsPeersKnow) {
+  configure_logging();
+  SimulatedCluster cluster(scripted(3, 4));
+  cluster.begin();
+  cluster.step(20);
+  const std::size_t leader = cluster.leader().value_or(0);
+  const std::size_t upgraded = (leader + 1) % cluster.nodes();
+  cluster.restart_with(
+      [](settings::Settings& settings) {
+        settings.teams.push_back({"green", 8, 0, 0, 0});
+      },
+      upgraded);
+  cluster.step(30);
+  cluster.submit_job(job_of(1, 4, "green"), 5);
+  cluster.submit_job(job_of(2, 4, "red"), 5);
+  cluster.step(70);
+  ASSERT_EQ(cluster.leader(), leader) << "the leader must go on";
+  ASSERT_TRUE(cluster.accepted("req-1"));
+  EXPECT_EQ(cluster.began_at("req-1"), -1) << "started a task without knowing the team's quota";
+  EXPECT_TRUE(cluster.is_done("req-2")) << "a job of a known team must not wait";
+  for (std::size_t node = 0; node < cluster.nodes(); ++node)
+    cluster.crash(node);
+  cluster.step(160);
+  EXPECT_TRUE(cluster.is_done("req-1")) << "every leader now knows the team";
+  expect_no_broken_rules(cluster);
+}
+
+// Every leader ended for as long as a job of the removed team was there, and nobody could cancel the job.
+TEST(UntrustedInput, JobsOfARemovedTeamKeepRunningAndCanBeCancelled) {
+  configure_logging();
+  SimulatedCluster cluster(scripted(4, 8));
+  cluster.begin();
+  cluster.step(20);
+  wire::JobSpec service = job_of(1, 4, "red");
+  service.shape = wire::Shape::service;
+  cluster.submit_job(service, 0);
+  wire::JobSpec kept_service = job_of(2, 4, "red");
+  kept_service.shape = wire::Shape::service;
+  cluster.submit_job(kept_service, 0);
+  cluster.submit_job(job_of(3, 40, "red"), 30);
+  cluster.submit_job(job_of(4, 4, "blue"), 200);
+  cluster.step(50);
+  const auto all_teams = cluster.settings().teams;
+  change_settings_everywhere(
+      cluster, [](settings::Settings& settings) { settings.teams.erase(settings.teams.begin()); });
+  ASSERT_TRUE(cluster.leader());
+  EXPECT_EQ(cluster.replicas_up("req-2"), 4U) << "running tasks of a removed team must not be lost";
+  cluster.cancel("req-1");
+  cluster.step(cluster.now() + 20);
+  EXPECT_GE(cluster.cancelled_at("req-1"), 0)
+      << "a job of a removed team must be cancelled when its user asks";
+  change_settings_everywhere(cluster, [&](settings::Settings& settings) { settings.teams = all_teams; });
+  cluster.step(cluster.now() + 250);
+  EXPECT_EQ(cluster.replicas_up("req-2"), 4U);
+  EXPECT_TRUE(cluster.is_done("req-3")) << "its tasks must start again once the team is back";
+  EXPECT_TRUE(cluster.is_done("req-4"));
+  EXPECT_EQ(cluster.run_report().started_again, 0U);
+  expect_no_broken_rules(cluster);
+}
+
 }  // namespace
 }  // namespace wingtrail::simulation
