Final state query: only keys that were compared count in a refusal

Cause: the references were cut out of whatever keys a refused comparison named. substr() throws beyond the end of a shorter key, which ended a leader while it loaded its records; other keys, or none, counted as "none of these jobs has a final state".

Change: only keys of the comparison count, and a refusal that names none of them is no answer and is repeated.

--- a/src/controller/final_state_query.cpp
+++ b/src/controller/final_state_query.cpp
@@ -1,6 +1,7 @@
 #include "controller/final_state_query.hpp"
 
-#include <string_view>
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "jobs/state_writer.hpp"
@@ -10,6 +11,19 @@
 namespace {
 constexpr ports::Seconds kRetryDelay = 0.3;
 constexpr int kMaxInFlight = 8;
+constexpr int kStatusConditionsHold = 200;
+constexpr int kStatusConditionsFail = 409;
+
+// The jobs among `compared` whose final state the refusal names; any other key in it is ignored.
+std::vector<std::string> with_final_state(const std::vector<std::string>& compared,
+                                          const wire::Value& refusal) {
+  const auto failed = wire::failed_keys(refusal);
+  std::vector<std::string> refs;
+  std::copy_if(compared.begin(), compared.end(), std::back_inserter(refs), [&failed](const std::string& ref) {
+    return std::find(failed.begin(), failed.end(), jobs::kFinalStatePrefix + ref) != failed.end();
+  });
+  return refs;
+}
 }  // namespace
 
 struct FinalStateQuery::Run {
@@ -59,11 +73,12 @@
   if (run->term != leadership_.term())
     return;
   --run->open;
-  const bool none_has_final_state = reply.status == 200;
-  const bool some_have_final_state = reply.status == 409;
-  if (none_has_final_state || some_have_final_state)
-    leadership_.on_answer();
-  if (!none_has_final_state && !some_have_final_state) {
+  std::vector<std::string> found;
+  if (reply.status == kStatusConditionsFail)
+    found = with_final_state(compared, reply.body);
+  // A failed comparison that names none of the jobs shows nothing about them.
+  const bool answered = reply.status == kStatusConditionsHold || !found.empty();
+  if (!answered) {
     run->refs.insert(run->refs.end(), compared.begin(), compared.end());
     ++run->open;
     return outbox_.after(kRetryDelay, [this, run] {
@@ -73,11 +88,8 @@
       send_next(run);
     });
   }
-  constexpr std::size_t kPrefixLength = std::string_view(jobs::kFinalStatePrefix).size();
-  if (some_have_final_state) {
-    for (const std::string& key : wire::failed_keys(reply.body))
-      run->with_final_state.insert(key.substr(kPrefixLength));
-  }
+  leadership_.on_answer();
+  run->with_final_state.insert(found.begin(), found.end());
   send_next(run);
 }
 
