Inventory pages: image names that are not a list are passed over

Cause: a page's list of image names was subscripted whatever it was; with a map or a text this throws type_error.305, which ended every controller that loaded the page.

Change: without a list there are no images; the machines of the page are kept.

Evidence: with the check taken out of the new code the test fails with type_error.305.

--- a/src/jobs/inventory_pages.cpp
+++ b/src/jobs/inventory_pages.cpp
@@ -43,7 +43,7 @@
 wire::Value image_names(const wire::Value& record, const wire::Value* names) {
   wire::Value images = wire::Value::array();
   const wire::Value* numbers = wire::find(record, "images");
-  if (!numbers || !numbers->is_array() || !names)
+  if (!numbers || !numbers->is_array() || !names || !names->is_array())
     return images;
   for (const wire::Value& number : *numbers) {
     if (number.is_number_unsigned() && number.get<std::size_t>() < names->size())
--- a/tests/record_pages_test.cpp
+++ b/tests/record_pages_test.cpp
@@ -342,6 +342,20 @@
   }
 }
 
+// A list of image names that is not a list ended every controller that loaded the page.
+TEST_F(RecordPagesTest, InventoryPagesWithMalformedImageNamesKeepTheirMachines) {
+  const wire::Value malformed_names[] = {
+      {{"img", 1}}, "img", 7, wire::Value::array({7, wire::Value::array()})};
+  for (const wire::Value& names : malformed_names) {
+    wire::Value machine = record("i-000001");
+    machine["images"] = {0U, 1U, 2U};
+    stored = {{"r/0", {{"images", names}, {"hosts", wire::Value::array({machine})}}}};
+    Leader leader(8, 12);
+    load(leader);
+    EXPECT_EQ(leader.hosts, std::vector<std::string>{"i-000001"}) << names.dump();
+  }
+}
+
 // The state service has a lower limit than the settings say: a refused page is split, and the others are
 // written.
 TEST_F(RecordPagesTest, PageRefusedByTheStateServiceIsSplitFurther) {
