Remote placements: of two pages that name a job, the later one counts

Cause: loading the second page forgot when the job's next request was due without taking that request back. Once the job was over, the request came up and placements_.at() threw, which ended the leader.

Change: the earlier request is taken back.

--- a/src/cells/remote_placements.cpp
+++ b/src/cells/remote_placements.cpp
@@ -78,6 +78,9 @@
       continue;
     page_state.refs.insert(ref);
     page_state.bytes += ref.size() + kRefOverheadBytes;
+    // Of two pages that name the job, the later one counts.
+    if (const auto earlier = placements_.find(ref); earlier != placements_.end())
+      unschedule_request(ref, earlier->second);
     RemotePlacement& placement = placements_[ref];
     placement = {};
     placement.cell = page_state.cell;
--- a/tests/cells_test.cpp
+++ b/tests/cells_test.cpp
@@ -363,6 +363,22 @@
       "j/away/north/x", page, 9, [](const std::string&) { return true; }, 0));
 }
 
+// The requests that were due for the first page's cell were looked up after the job was over, which ended the
+// leader.
+TEST(RemotePlacements, AJobNamedByTwoPagesIsRequestedOfOneCell) {
+  RemotePlacements placements({"south", "north"}, 6000);
+  const auto live = [](const std::string&) {
+    return true;
+  };
+  EXPECT_TRUE(
+      placements.load("j/away/south/1", {{"cell", "south"}, {"refs", {"req-1", "req-1"}}}, 8, live, 0));
+  EXPECT_TRUE(placements.load("j/away/north/2", {{"cell", "north"}, {"refs", {"req-1"}}}, 9, live, 1));
+  EXPECT_EQ(placements.next_requests(1, 10, 5).size(), 1U);
+  placements.on_job_over("req-1");
+  EXPECT_TRUE(placements.next_requests(0, 10, 100).empty());
+  EXPECT_TRUE(placements.next_requests(1, 10, 100).empty());
+}
+
 // ---------------------------------------------------------------- the planner
 
 NeighbourCapacity accepting(double cores, Seconds wait_s) {
