Remote placements: a malformed item does not hide the jobs behind it

Cause: load() returned at the first item that is not text. The jobs behind it were not marked as placed remotely, so their tasks could start in this cell beside those in the cell that holds them.

Change: the item is passed over, and the page is still reported as malformed.

--- a/src/cells/remote_placements.cpp
+++ b/src/cells/remote_placements.cpp
@@ -70,9 +70,12 @@
   page_state.cell = static_cast<std::size_t>(known - cells_.begin());
   page_state.number = number;
   page_state.version = version;
+  bool well_formed = true;
   for (const wire::Value& item : *refs) {
-    if (!item.is_string())
-      return false;
+    if (!item.is_string()) {
+      well_formed = false;
+      continue;
+    }
     const auto ref = item.get<std::string>();
     if (!live(ref))
       continue;
@@ -89,7 +92,7 @@
     schedule_request(ref, placement, now);
   }
   delete_if_empty(id);
-  return true;
+  return well_formed;
 }
 
 // Deletes a page that names no job: first in the state service, if it may exist there.
--- a/tests/cells_test.cpp
+++ b/tests/cells_test.cpp
@@ -379,6 +379,16 @@
   EXPECT_TRUE(placements.next_requests(1, 10, 100).empty());
 }
 
+// The jobs behind a malformed item counted as jobs of this cell, and could start in two cells.
+TEST(RemotePlacements, JobsBehindAMalformedItemRemainRemote) {
+  RemotePlacements placements({"south"}, 6000);
+  const wire::Value page{{"cell", "south"}, {"refs", {"req-1", 7, "req-2"}}};
+  EXPECT_FALSE(placements.load(
+      "j/away/south/1", page, 9, [](const std::string&) { return true; }, 0));
+  EXPECT_NE(placements.find("req-1"), nullptr);
+  EXPECT_NE(placements.find("req-2"), nullptr);
+}
+
 // ---------------------------------------------------------------- the planner
 
 NeighbourCapacity accepting(double cores, Seconds wait_s) {
