Catalog: amounts have the range of those in submissions

Cause: the catalog's amounts were taken as they came.

Change: is_valid_amount() serves submissions and the catalog; a type has at least 0.001 cores; request_cores() limits what one pass requests.

No end was provoked.

--- a/src/autoscaling/scale_out.cpp
+++ b/src/autoscaling/scale_out.cpp
@@ -57,10 +57,12 @@
     std::stable_sort(open.begin(), open.end(),
                      [&](const Pool& a, const Pool& b) { return zone_cores(a) < zone_cores(b); });
     for (std::size_t i = 0; i < open.size(); ++i) {
-      constexpr double kEps = 1e-9;  // machines: tolerance for rounding errors
+      constexpr double kEps = 1e-9;                // machines: tolerance for rounding errors
+      constexpr double kMaxMachinesPerPass = 1e5;  // the rest is requested in later passes
       const double machine_cores = catalog_.type(open[i].type)->cpus;
       const double pool_cores = missing / static_cast<double>(open.size() - i);
-      int machines = static_cast<int>(std::ceil(pool_cores / machine_cores - kEps));
+      int machines =
+          static_cast<int>(std::min(std::ceil(pool_cores / machine_cores - kEps), kMaxMachinesPerPass));
       missing -= machines * machine_cores;
       for (; machines > 0; machines -= kMaxMachinesPerRequest)
         request_machines(open[i], std::min(machines, kMaxMachinesPerRequest), reason);
--- a/src/wire/cloud_messages.cpp
+++ b/src/wire/cloud_messages.cpp
@@ -10,21 +10,43 @@
                                                       {"running", ListedMachine::State::running},
                                                       {"failed", ListedMachine::State::failed}};
 
+// The fewest cores of a machine. Machine counts are quotients of cores, so they must not be divided by almost
+// nothing.
+constexpr double kMinMachineCpus = 0.001;
+
+// Reads the amounts that the catalog has of the type. Returns the field of the first that is out of range.
+std::optional<std::string> read_amounts(const Value& map, MachineType& type) {
+  struct {
+    const char* key;
+    double* target;
+  } const amounts[] = {{field::kCpus, &type.cpus},
+                       {field::kGpus, &type.gpus},
+                       {field::kMemoryGb, &type.memory_gb},
+                       {field::kCacheGb, &type.cache_gb},
+                       {field::kFetchGbPerS, &type.fetch_gb_per_s},
+                       {field::kPrice, &type.price},
+                       {field::kSpotPrice, &type.spot_price},
+                       {field::kBootS, &type.boot_s}};
+  for (const auto& [key, target] : amounts) {
+    const auto value = amount(map, key);
+    if (value && !is_valid_amount(value))
+      return key;
+    *target = value.value_or(*target);
+  }
+  return std::nullopt;
+}
+
 Result<MachineType> parse_machine_type(const Value& map) {
   MachineType type;
   const auto name = text(map, field::kName);
   if (!is_valid_name(name))
     return malformed(field::kMachineTypes, "a type without a name");
   type.name = *name;
-  type.cpus = amount(map, field::kCpus).value_or(0);
-  type.gpus = amount(map, field::kGpus).value_or(0);
-  type.memory_gb = amount(map, field::kMemoryGb).value_or(0);
-  type.cache_gb = amount(map, field::kCacheGb).value_or(0);
-  type.fetch_gb_per_s = amount(map, field::kFetchGbPerS).value_or(0);
-  type.price = amount(map, field::kPrice).value_or(0);
-  type.spot_price = amount(map, field::kSpotPrice).value_or(type.price);
-  type.boot_s = amount(map, field::kBootS).value_or(0);
-  if (type.cpus <= 0 || type.memory_gb <= 0)
+  if (const auto out_of_range = read_amounts(map, type))
+    return malformed(*out_of_range, type.name + " has an amount out of range");
+  if (!amount(map, field::kSpotPrice))
+    type.spot_price = type.price;
+  if (type.cpus < kMinMachineCpus || type.memory_gb <= 0)
     return malformed(field::kMachineTypes, type.name + " has no cores or memory");
   if (const Value* zones = find(map, field::kZones))
     type.zones = text_list(*zones).value_or(std::vector<std::string>{});
--- a/src/wire/job_messages.cpp
+++ b/src/wire/job_messages.cpp
@@ -9,8 +9,6 @@
 namespace wingtrail::wire {
 namespace {
 
-// The largest amount accepted, in the unit of the field.
-constexpr double kMaxAmount = 1e9;
 constexpr std::size_t kMaxRefBytes = 40;
 
 constexpr EnumName<Shape> kShapes[] = {
@@ -24,10 +22,6 @@
                                        {"done", Phase::done},
                                        {"withdrawn", Phase::cancelled}};
 
-bool is_valid_amount(const std::optional<double>& amount) {
-  return amount && *amount >= 0 && *amount <= kMaxAmount;
-}
-
 // Each of the following functions reads a group of fields and returns the error of the first malformed field.
 // Users receive that error, so the order of the groups and of the fields in each is part of the protocol.
 using Problem = std::optional<ParseError>;
--- a/src/wire/parsing.cpp
+++ b/src/wire/parsing.cpp
@@ -20,6 +20,10 @@
   return name && !name->empty() && name->size() <= kMaxNameBytes;
 }
 
+bool is_valid_amount(const std::optional<double>& amount) {
+  return amount && *amount >= 0 && *amount <= kMaxAmount;
+}
+
 std::string escape_query(const std::string& text) {
   static const char* const kHexDigits = "0123456789ABCDEF";
   std::string escaped;
--- a/src/wire/parsing.hpp
+++ b/src/wire/parsing.hpp
@@ -13,6 +13,8 @@
 
 /// The longest text that is accepted as a name, in bytes.
 inline constexpr std::size_t kMaxNameBytes = 200;
+/// The largest amount that is accepted, in the unit of its field.
+inline constexpr double kMaxAmount = 1e9;
 
 /// One row of a table that maps the protocol's names to enumerators. Several names may map to one enumerator;
 /// the first of them is sent.
@@ -52,6 +54,9 @@
 /// Whether the text is present, not empty and at most kMaxNameBytes long.
 bool is_valid_name(const std::optional<std::string>& name);
 
+/// Whether the amount is present, at least 0 and at most kMaxAmount.
+bool is_valid_amount(const std::optional<double>& amount);
+
 /// Percent-encodes a key or host name for the query of a URL; a slash stays as it is.
 std::string escape_query(const std::string& text);
 
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -190,6 +190,25 @@
   }
 }
 
+// Machine counts are quotients of these amounts, converted to integers.
+TEST(Catalog, RefusesAmountsOutOfRange) {
+  const Value valid{{"name", "g8"}, {"cores", 96},  {"memGb", 768},
+                    {"bootS", 45},  {"rate", 12.0}, {"halls", {"a"}}};
+  const auto parsed = parse_catalog({{"flavours", {valid}}});
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ((*parsed)[0].spot_price, 12.0)
+      << "the price of a spot machine defaults to that of an ordinary one";
+  const std::pair<const char*, double> out_of_range[] = {
+      {"cores", 0},  {"cores", 1e-300},    {"cores", 1e300},    {"cores", -1},
+      {"memGb", -1}, {"accelerators", -1}, {"bootS", -1},       {"bootS", 1e300},
+      {"rate", -1},  {"marketPrice", -1},  {"fetchGbPerS", -1}, {"cacheGb", 1e300}};
+  for (const auto& [field, amount] : out_of_range) {
+    Value type = valid;
+    type[field] = amount;
+    EXPECT_FALSE(parse_catalog({{"flavours", {type}}})) << "accepted " << field << " = " << amount;
+  }
+}
+
 TEST(Peer, FramesAreUnchangedByEncodingAndGarbageIsRefused) {
   peer::Frame frame;
   frame.node = "a";
