Autoscaler: a zone that the catalog has just named has no free cores

Cause: request_cores() adds the catalog's zones to the table of zones after the free cores by zone were laid out, and scale_out_restricted_jobs() then read beyond them.

Change: a zone beyond the table has none.

--- a/src/autoscaling/pool_capacity.hpp
+++ b/src/autoscaling/pool_capacity.hpp
@@ -33,9 +33,9 @@
   double cores(bool spot) const;
   /// Cores of the zone's spot pools or ordinary pools.
   double cores_in_zone(jobs::ZoneIndex zone, bool spot) const;
-  /// Free cores of ordinary machines in the zone.
+  /// Free cores of ordinary machines in the zone; 0 for a zone that came up after begin_update().
   double free_ordinary_cores(jobs::ZoneIndex zone) const {
-    return free_ordinary_cores_by_zone_[zone];
+    return zone < free_ordinary_cores_by_zone_.size() ? free_ordinary_cores_by_zone_[zone] : 0;
   }
   /// Cores of the largest machine; 0 if there is none.
   double largest_machine_cores() const {
