Frames: NaN, and budget shares that are not finite, are malformed

Cause: msgpack carries any double. A lent share that is NaN or infinite makes the level of the token bucket NaN, and every later comparison with it allows the request (read, not run).

Change: such frames and digests are refused. Durations may be infinite: peers send "never" so.

--- a/src/peer/cell_message.hpp
+++ b/src/peer/cell_message.hpp
@@ -67,7 +67,7 @@
 };
 
 std::string encode(const CellMessage& message);
-/// Returns nothing if the bytes are malformed or exceed the limits on sizes and nesting.
+/// Returns nothing if the bytes are malformed, exceed the limits on sizes and nesting, or contain NaN.
 std::optional<CellMessage> decode_cell_message(std::string_view bytes);
 
 }  // namespace wingtrail::peer
--- a/src/peer/frame.hpp
+++ b/src/peer/frame.hpp
@@ -117,7 +117,7 @@
 /// Returns the frame encoded as msgpack.
 std::string encode(const Frame& frame);
 /// Decodes a frame; returns nullopt if it is malformed, exceeds the limits of size and depth, or has a name
-/// or path that is not UTF-8.
+/// or path that is not UTF-8, a number that is NaN, or an infinite budget share.
 std::optional<Frame> decode(std::string_view bytes);
 
 }  // namespace wingtrail::peer
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <pcg_random.hpp>
 
+#include "peer/cell_message.hpp"
 #include "peer/frame.hpp"
 #include "wire/cloud_messages.hpp"
 #include "wire/job_messages.hpp"
@@ -209,6 +211,29 @@
   }
 }
 
+// One NaN in a lent share left the budget of the state service without a limit until the process ended.
+TEST(Peer, FramesAndDigestsWithNumbersThatAreNotFiniteAreRefused) {
+  constexpr double kNan = std::numeric_limits<double>::quiet_NaN();
+  constexpr double kInfinity = std::numeric_limits<double>::infinity();
+  peer::Frame frame;
+  frame.all_support_delegation_s = -kInfinity;
+  EXPECT_TRUE(peer::decode(peer::encode(frame))) << "a duration may be infinite";
+  for (double peer::Frame::*const number :
+       {&peer::Frame::process_age_s, &peer::Frame::delegation_s, &peer::Frame::max_delegation_s,
+        &peer::Frame::final_state_lag_s, &peer::Frame::lent_write_share, &peer::Frame::lent_request_share}) {
+    peer::Frame invalid = frame;
+    invalid.*number = kNan;
+    EXPECT_FALSE(peer::decode(peer::encode(invalid)));
+  }
+  frame.lent_request_share = kInfinity;
+  EXPECT_FALSE(peer::decode(peer::encode(frame))) << "a budget share must be finite";
+  peer::CellMessage message;
+  message.digest.emplace_back().wait_s = kInfinity;
+  EXPECT_TRUE(peer::decode_cell_message(peer::encode(message)));
+  message.digest.front().team_cores["red"] = kNan;
+  EXPECT_FALSE(peer::decode_cell_message(peer::encode(message)));
+}
+
 TEST(Peer, FramesAreUnchangedByEncodingAndGarbageIsRefused) {
   peer::Frame frame;
   frame.node = "a";
