Completion pages: an entry that begins beyond the last task is malformed

Cause: the check added `from` and the length, which overflows for `from` near 2^64, and the tasks from 0 on counted as completed.

Change: `from` is compared by itself first.

Evidence: the test fails on: tasks that never ran count as done.

--- a/src/jobs/completion_codec.cpp
+++ b/src/jobs/completion_codec.cpp
@@ -55,7 +55,7 @@
                              const std::function<void(std::uint32_t)>& on_completed) const {
   const auto from = wire::count(value, "from");
   const auto bits = wire::text(value, "bits");
-  if (!from || !bits || *from + (bits->size() - !bits->empty()) * 6 > tasks)
+  if (!from || !bits || *from > tasks || *from + (bits->size() - !bits->empty()) * 6 > tasks)
     return false;
   for (std::size_t i = 0; i < bits->size(); ++i) {
     const int six = unpack((*bits)[i]);
--- a/tests/record_pages_test.cpp
+++ b/tests/record_pages_test.cpp
@@ -4,6 +4,7 @@
 /// job chains.
 #include <gtest/gtest.h>
 
+#include <limits>
 #include <map>
 #include <set>
 
@@ -356,6 +357,18 @@
   }
 }
 
+// The sum of both fields overflowed, and tasks counted as completed that were not.
+TEST_F(RecordPagesTest, CompletionsFromBeyondTheLastTaskAreMalformed) {
+  Leader leader(8, 12);
+  Job& job = leader.add_job("req-1", 10);
+  const std::uint64_t wraps_around = std::numeric_limits<std::uint64_t>::max() - 5;
+  for (const std::uint64_t from : {wraps_around, std::uint64_t{11}}) {
+    const wire::Value entry{{"ref", "req-1"}, {"from", from}, {"bits", "oo"}};
+    EXPECT_FALSE(leader.state_writer.load_completion_page("p/0", wire::Value::array({entry}), 1));
+    EXPECT_EQ(job.done_tasks, 0U);
+  }
+}
+
 // The state service has a lower limit than the settings say: a refused page is split, and the others are
 // written.
 TEST_F(RecordPagesTest, PageRefusedByTheStateServiceIsSplitFurther) {
