Final states: a record that says queued or running is none

Cause: parse_final_state() accepted any phase. A record of that kind would be answered as final, and a dependency that is "final" and not done cancels the jobs behind it.

Change: only done and cancelled are final; a look-up that finds anything else has no answer.

--- a/src/wire/job_messages.cpp
+++ b/src/wire/job_messages.cpp
@@ -210,7 +210,7 @@
 
 std::optional<FinalState> parse_final_state(const Value& record) {
   const auto phase = parse_phase(record);
-  if (!phase)
+  if (phase != Phase::done && phase != Phase::cancelled)
     return std::nullopt;
   return FinalState{*phase, static_cast<std::uint32_t>(count(record, field::kFinalTasks).value_or(0)),
                     amount(record, field::kEndedAt)};
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -192,6 +192,17 @@
   }
 }
 
+// A stored final state that says "running" would be answered as final, and would cancel the jobs that depend
+// on it.
+TEST(Job, AFinalStateIsDoneOrCancelled) {
+  for (const Phase phase : {Phase::done, Phase::cancelled})
+    EXPECT_TRUE(parse_final_state(final_state_record({phase, 3, 1.0})));
+  for (const Phase phase : {Phase::queued, Phase::running})
+    EXPECT_FALSE(parse_final_state(final_state_record({phase, 3, 1.0})));
+  EXPECT_FALSE(parse_final_state({{"phase", 7}}));
+  EXPECT_FALSE(parse_final_state(Value::array()));
+}
+
 // Machine counts are quotients of these amounts, converted to integers.
 TEST(Catalog, RefusesAmountsOutOfRange) {
   const Value valid{{"name", "g8"}, {"cores", 96},  {"memGb", 768},
