Autoscaler: at most 1,000 rental requests are open at a time

Change: RentalRequests::add() refuses more than 1,000 open ones, that is 50,000 machines; what is left is requested in later passes.

--- a/src/autoscaling/rental_requests.cpp
+++ b/src/autoscaling/rental_requests.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 constexpr Seconds kRefusalBackoff = 15;  // until other customers of the cloud may have returned machines
-}
+constexpr std::size_t kMaxOpenRequests = 1000;
+}  // namespace
 
 void RentalRequests::clear() {
   ++generation_;
@@ -35,6 +36,8 @@
 }
 
 int RentalRequests::add(const Pool& pool, int count, const char* reason) {
+  if (requests_.size() >= kMaxOpenRequests)
+    return 0;
   // In a zone that is lost with all its machines, a single machine is requested as a probe: it shows when the
   // zone is reachable again.
   if (workers_.zones().is_unreachable(pool.zone, out_.now())) {
