--- a/src/simulation/cloud.cpp
+++ b/src/simulation/cloud.cpp
@@ -106,9 +106,14 @@
     if (now_ < no_capacity_until_ || live >= plan_.max_machines)
       return reply(503, {{"error", "no capacity"}});
     Value names = Value::array();
-    const std::size_t type = body["flavour"] == catalog_[0].name ? 0 : 1;
+    const auto listed = std::find_if(
+        catalog_.begin(), catalog_.end(),
+        [&body](const wire::MachineType& type) { return type.name == body["flavour"].get<std::string>(); });
     const auto hall =
         std::find(settings_.zones.begin(), settings_.zones.end(), body["hall"].get<std::string>());
+    if (listed == catalog_.end() || hall == settings_.zones.end())
+      return reply(400, {{"error", "malformed"}});
+    const auto type = static_cast<std::size_t>(listed - catalog_.begin());
     const auto zone = static_cast<std::size_t>(hall - settings_.zones.begin());
     // A controller cannot tell a cut zone from late heartbeats at once, and its request may already have been
     // on the way; only rentals well after the start of the cut count.
--- a/src/simulation/controllers.cpp
+++ b/src/simulation/controllers.cpp
@@ -32,6 +32,27 @@
   });
 }
 
+void SimulatedCluster::corrupt_messages(double share, double for_s) {
+  corruption_share_ = share;
+  corruption_until_ = now_ + for_s;
+  checks_rules_ = false;
+}
+
+bool SimulatedCluster::corrupts_message() {
+  if (now_ >= corruption_until_ || !corruption_.chosen(corruption_share_))
+    return false;
+  ++corrupted_messages_;
+  return true;
+}
+
+std::string SimulatedCluster::received(std::string cbor) {
+  return corrupts_message() ? corruption_.corrupt_cbor(cbor) : cbor;
+}
+
+std::optional<peer::Frame> SimulatedCluster::received(const peer::Frame& frame) {
+  return corrupts_message() ? peer::decode(corruption_.corrupt_frame(frame)) : frame;
+}
+
 void SimulatedCluster::boot(std::size_t i) {
   if (external_processes_.boot)
     return external_processes_.boot(i);
@@ -196,13 +217,16 @@
   const bool worker = call.target == ports::Target::worker;
   const std::uint64_t process = c.process_number;
   auto back = [this, caller, to, finish, worker](int status, Value body) {
-    send(to, caller, [finish, worker, status, body = std::move(body)] {
+    send(to, caller, [this, finish, worker, status, body = std::move(body)] {
       ports::Reply r;
       r.status = status;
+      const std::string bytes = received(wire::encode_cbor(body));
       if (worker)
-        r.heartbeat = wire::encode_cbor(body);
-      else
-        r.body = *wire::decode_cbor(wire::encode_cbor(body), wire::InvalidText::replace);
+        r.heartbeat = bytes;
+      else if (auto value = wire::decode_cbor(bytes, wire::InvalidText::replace))
+        r.body = std::move(*value);
+      else if (status == 200)
+        r.status = 0;
       finish(r);
     });
   };
@@ -220,10 +244,11 @@
         return cloud_request(call.method, call.path, call.body, back);
       case ports::Target::peer:
         return deliver_frame(peer, *call.frame, [this, caller, to, finish](const ports::Answer& a) {
-          send(to, caller, [finish, a] {
+          send(to, caller, [this, finish, a] {
             ports::Reply r;
             r.status = a.status;
-            r.frame = a.frame;
+            if (a.frame)
+              r.frame = received(*a.frame);
             finish(r);
           });
         });
@@ -264,9 +289,15 @@
   SimulatedController& c = *controllers_[node];
   if (!c.controller || now_ < c.paused_until)
     return;
+  const auto arrived = received(*peer::decode(peer::encode(frame)));
+  if (!arrived) {
+    ports::Answer refusal;
+    refusal.status = 400;
+    return then(refusal);
+  }
   const std::uint64_t id = ++c.requests;
   c.open_requests[id] = std::move(then);
-  c.controller->on_frame(node_time(c), id, *peer::decode(peer::encode(frame)));
+  c.controller->on_frame(node_time(c), id, *arrived);
   run_controller(node);
 }
 
@@ -291,6 +322,8 @@
     return;
   }
   request.id = ++c.requests;
+  if (!request.body.empty())
+    request.body = received(std::move(request.body));
   c.open_requests[request.id] = std::move(then);
   c.controller->on_request(node_time(c), request);
   run_controller(i);
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -39,7 +39,10 @@
 }
 
 SimulatedCluster::SimulatedCluster(SimulationPlan plan, ExternalProcesses external_processes)
-    : plan_(std::move(plan)), external_processes_(std::move(external_processes)), rng_(plan_.seed) {
+    : plan_(std::move(plan)),
+      external_processes_(std::move(external_processes)),
+      rng_(plan_.seed),
+      corruption_(plan_.seed) {
   for (std::size_t z = 0; z < plan_.zones; ++z)
     settings_.zones.push_back(std::string("z").append(std::to_string(z)));
   settings_.teams = {{"red", 32, plan_.budget_limits ? 64.0 : 0, 0, 0},
@@ -145,7 +148,8 @@
     now_ = node.key();
     node.mapped()();
     expire_leases();
-    check_rules();
+    if (checks_rules_)
+      check_rules();
   }
   if (external_processes_.deliver)
     now_ = std::max(now_, until);
@@ -197,6 +201,8 @@
 }
 
 void SimulatedCluster::report_violation(const std::string& rule, const std::string& details) {
+  if (!checks_rules_)
+    return;
   run_report_.broken_rules.push_back(rule + " at " + std::to_string(now_) + " (seed " +
                                      std::to_string(plan_.seed) + "): " + details);
 }
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "controller/controller.hpp"
+#include "simulation/message_corruption.hpp"
 #include "wire/cloud_messages.hpp"
 #include "wire/job_messages.hpp"
 
@@ -261,6 +262,14 @@
   /// Machines rented during this time are up within 2 s.
   void boot_quickly(double for_s);
   void slow_down_links(double for_s);
+  /// This share of the messages that controllers read is mutated: requests, frames, and replies of the state
+  /// service, the cloud, workers and peers. From then on the rules are not checked, as what controllers are
+  /// told is wrong.
+  void corrupt_messages(double share, double for_s);
+  /// Number of messages mutated so far.
+  std::size_t corrupted_messages() const {
+    return corrupted_messages_;
+  }
   /// Records that a fault lasting `for_s` seconds begins now.
   void extend_fault_period(double for_s);
   /// Whether the link between two endpoints is cut.
@@ -418,6 +427,12 @@
   void handle_request(std::size_t i, controller::IncomingRequest request, AnswerCallback then);
   void handle_frame(std::size_t i, const peer::Frame& frame, AnswerCallback then);
   double request_delay(std::size_t i) const;
+  /// Whether the message that a controller is about to read is to be mutated.
+  bool corrupts_message();
+  /// A CBOR message as it arrives: mutated if the fault corrupt_messages() is on and chooses it.
+  std::string received(std::string cbor);
+  /// A frame as it arrives; nothing if it arrives malformed.
+  std::optional<peer::Frame> received(const peer::Frame& frame);
   /// Calls `handle` after the controller's request delay, or at once if it has none.
   void after_request_delay(std::size_t i, std::function<void()> handle);
 
@@ -549,6 +564,10 @@
   double cancel_at_end_share_ = 0, cancel_at_end_until_ = -1, malformed_requests_until_ = -1,
          close_polls_until_ = -1;
   std::deque<double> asked_at_, answered_at_;  // times of users' queries, of the last kForgottenLimit
+  MessageCorruption corruption_;
+  double corruption_share_ = 0, corruption_until_ = -1;
+  bool checks_rules_ = true;
+  std::size_t corrupted_messages_ = 0;
   double quick_boots_until_ = -1, slow_links_until_ = -1, faults_until_ = 0;
   RunReport run_report_;
 };
--- a/src/simulation/workers.cpp
+++ b/src/simulation/workers.cpp
@@ -99,9 +99,11 @@
         return;
       check_lease(worker);
       if (answer.status == 421) {
-        const auto steward = wire::text(answer.body, "steward");
-        if (steward && *steward != node_name(worker.node)) {
-          worker.node = static_cast<std::size_t>(steward->back() - '0');
+        const auto leader = wire::text(answer.body, "steward");
+        for (std::size_t node = 0; leader && node < plan_.nodes; ++node) {
+          if (*leader != node_name(node) || node == worker.node)
+            continue;
+          worker.node = node;
           return next(random_between(0, 0.5), false);
         }
       }
--- a/tests/random_fault_search.cpp
+++ b/tests/random_fault_search.cpp
@@ -4,6 +4,7 @@
 #include <cstring>
 #include <iostream>
 
+#include "simulation/corrupted_run.hpp"
 #include "simulation/simulated_cells.hpp"
 
 namespace {
@@ -26,16 +27,34 @@
   return broken || unfinished ? 1 : 0;
 }
 
+int search_corrupted(int first, int count) {
+  int without_leader = 0;
+  std::size_t corrupted = 0;
+  for (int seed = first; seed < first + count; ++seed) {
+    const auto report = wingtrail::simulation::run_with_corrupted_messages(static_cast<std::uint64_t>(seed));
+    if (!report.leads_afterwards)
+      std::cout << "seed " << seed << ": nobody leads afterwards\n";
+    without_leader += !report.leads_afterwards;
+    corrupted += report.corrupted_messages;
+  }
+  std::cout << corrupted << " mutated messages ended no controller; no leader afterwards in "
+            << without_leader << " of " << count << " seeds\n";
+  return without_leader ? 1 : 0;
+}
+
 }  // namespace
 
 // Runs the simulated cluster with random faults for COUNT seeds from FIRST on, and reports violations and
-// unfinished jobs. `quiet`: without faults; `cells`: several cells.
-// Usage: random_fault_search FIRST COUNT [LOG_LEVEL [quiet | cells]]
+// unfinished jobs. `quiet`: without faults; `cells`: several cells; `corrupted`: mutated messages,
+// which must not end the program.
+// Usage: random_fault_search FIRST COUNT [LOG_LEVEL [quiet | cells | corrupted]]
 int main(int argc, char** argv) {
   const int first = argc > 1 ? std::atoi(argv[1]) : 1, count = argc > 2 ? std::atoi(argv[2]) : 100;
   spdlog::set_level(argc > 3 ? spdlog::level::from_str(argv[3]) : spdlog::level::off);
   if (argc > 4 && std::strcmp(argv[4], "cells") == 0)
     return hunt_cells(first, count);
+  if (argc > 4 && std::strcmp(argv[4], "corrupted") == 0)
+    return search_corrupted(first, count);
   int broken = 0, unfinished = 0;
   for (int seed = first; seed < first + count; ++seed) {
     wingtrail::simulation::SimulationPlan plan =
--- a/tests/untrusted_input_test.cpp
+++ b/tests/untrusted_input_test.cpp
@@ -1,6 +1,7 @@
 // What controllers read from users, workers, peers and the state service may be wrong in any way. It must not
 // end a controller, and jobs that are not concerned must go on.
 #include "scenarios.hpp"
+#include "simulation/corrupted_run.hpp"
 #include "wire/job_messages.hpp"
 
 namespace wingtrail::simulation {
@@ -147,5 +148,26 @@
   expect_no_broken_rules(cluster);
 }
 
+// Whatever a message says, it must end no controller. Further seeds: random_fault_search FIRST COUNT off
+// corrupted
+TEST(UntrustedInput, MutatedMessagesEndNoController) {
+  configure_logging();
+  std::size_t corrupted = 0, started = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    const CorruptedRunReport report = run_with_corrupted_messages(seed);
+    corrupted += report.corrupted_messages;
+    started += report.started;
+  }
+  EXPECT_GT(corrupted, 5000U) << "too few messages were mutated";
+  EXPECT_GT(started, 1000U) << "too few tasks were started for the messages to matter";
+}
+
+// Mutated messages must not keep controllers from leading once messages are sound again.
+TEST(UntrustedInput, SomebodyLeadsAfterMutatedMessages) {
+  configure_logging();
+  for (std::uint64_t seed = 31; seed <= 40; ++seed)
+    EXPECT_TRUE(run_with_corrupted_messages(seed).leads_afterwards) << "seed " << seed;
+}
+
 }  // namespace
 }  // namespace wingtrail::simulation
