--- a/src/simulation/controllers.cpp
+++ b/src/simulation/controllers.cpp
@@ -45,7 +45,7 @@
   return true;
 }
 
-std::string SimulatedCluster::received(std::string cbor) {
+std::string SimulatedCluster::received(const std::string& cbor) {
   return corrupts_message() ? corruption_.corrupt_cbor(cbor) : cbor;
 }
 
@@ -323,7 +323,7 @@
   }
   request.id = ++c.requests;
   if (!request.body.empty())
-    request.body = received(std::move(request.body));
+    request.body = received(request.body);
   c.open_requests[request.id] = std::move(then);
   c.controller->on_request(node_time(c), request);
   run_controller(i);
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -430,7 +430,7 @@
   /// Whether the message that a controller is about to read is to be mutated.
   bool corrupts_message();
   /// A CBOR message as it arrives: mutated if the fault corrupt_messages() is on and chooses it.
-  std::string received(std::string cbor);
+  std::string received(const std::string& cbor);
   /// A frame as it arrives; nothing if it arrives malformed.
   std::optional<peer::Frame> received(const peer::Frame& frame);
   /// Calls `handle` after the controller's request delay, or at once if it has none.
