Workers: each command and each attempt that begins without one is told

The controllers' own output held elections, ends of jobs and rentals, but not one command, so neither the late copy of a start nor the command to forget before it could be read off.

New: a debug line for each command (host, incarnation, token, direct call or reply, verb, task, attempt), and a warning and the counter wingtrail_unexpected_attempts_total for an attempt that appears without a current start on a machine that is fenced and has listed its tasks (host, task, attempt, its token, the leader's). Behaviour is unchanged.

--- a/src/daemon/metrics_exporter.cpp
+++ b/src/daemon/metrics_exporter.cpp
@@ -134,6 +134,8 @@
   page.counter("wingtrail_alarms_total", "liveness sweeps: calls to every machine to check that it is alive",
                stats.liveness_sweeps);
   page.counter("wingtrail_orders_total", "commands sent to workers", stats.commands_sent);
+  page.counter("wingtrail_unexpected_attempts_total",
+               "attempts that began on a worker without a current start command", stats.unexpected_attempts);
   page.counter("wingtrail_commits_total", "transactions committed as leader", stats.commits);
   page.counter("wingtrail_machines_hired_total", "machines rented", stats.machines_rented);
   page.counter("wingtrail_machines_returned_total", "machines returned", stats.machines_returned);
--- a/src/delegation/strict_cancellation.hpp
+++ b/src/delegation/strict_cancellation.hpp
@@ -17,10 +17,14 @@
 /// Below the flag an attempt number holds the leader's fencing token, shifted by this, and a counter.
 inline constexpr int kFencingTokenShift = 24;
 
+/// Returns the fencing token of the leader that assigned the attempt number.
+constexpr std::uint64_t fencing_token_of(std::uint64_t attempt) {
+  return (attempt & ~kStrictCancellationFlag) >> kFencingTokenShift;
+}
+
 /// Returns the fencing token of the leader that assigned the attempt number if the flag is set, otherwise 0.
 constexpr std::uint64_t strict_cancellation_token(std::uint64_t attempt) {
-  return (attempt & kStrictCancellationFlag) != 0 ? (attempt & ~kStrictCancellationFlag) >> kFencingTokenShift
-                                                  : 0;
+  return (attempt & kStrictCancellationFlag) != 0 ? fencing_token_of(attempt) : 0;
 }
 
 }  // namespace wingtrail::delegation
--- a/src/simulation/rules.cpp
+++ b/src/simulation/rules.cpp
@@ -183,8 +183,7 @@
   if (seen == job.done_seen_by_token.end())
     return;
   ++run_report_.again_after_done;
-  const std::uint64_t started_by =
-      (task.attempt & ~delegation::kStrictCancellationFlag) >> delegation::kFencingTokenShift;
+  const std::uint64_t started_by = delegation::fencing_token_of(task.attempt);
   if (started_by == seen->second)
     report_violation("again_after_done",
                      task.name + " by the leader that heard of its end, token " + std::to_string(started_by));
--- a/src/wire/worker_messages.cpp
+++ b/src/wire/worker_messages.cpp
@@ -24,6 +24,10 @@
 
 }  // namespace
 
+const char* verb_name(Command::Verb verb) {
+  return enum_name(kVerbs, verb);
+}
+
 Value heartbeat_reply(std::uint64_t token, const std::vector<Command>& commands) {
   return {{field::kFencingToken, token}, {field::kCommands, commands_value(commands)}};
 }
--- a/src/wire/worker_messages.hpp
+++ b/src/wire/worker_messages.hpp
@@ -71,6 +71,8 @@
   /// For a stop: the time that the task has for a last checkpoint, in seconds.
   double grace_s = 0;
 };
+/// The protocol's name of a command.
+const char* verb_name(Command::Verb verb);
 /// The leader's answer to a heartbeat: its fencing token and commands.
 Value heartbeat_reply(std::uint64_t token, const std::vector<Command>& commands);
 /// The body of commands sent to a worker without waiting for its heartbeat, for that incarnation only.
--- a/src/workers/allocations.cpp
+++ b/src/workers/allocations.cpp
@@ -154,6 +154,7 @@
   for (std::size_t i = machine.allocations.size(); i-- > 0;)
     drop_allocation(machine, i);
   machine.has_incarnation = false;
+  machine.tasks_listed = false;
   machine.idle_since = out_.now();
   update_heartbeat_expected(machine);
   mark_changed(machine);
--- a/src/workers/commands.cpp
+++ b/src/workers/commands.cpp
@@ -124,9 +124,22 @@
       schedule_check(machine, out_.now() + kResendInterval);
   }
   commands_sent_ += commands.size();
+  log_commands(machine, delivery, commands);
   return commands;
 }
 
+void WorkerManager::log_commands(const Machine& machine, Delivery delivery,
+                                 const std::vector<wire::Command>& commands) const {
+  if (!spdlog::should_log(spdlog::level::debug))
+    return;
+  for (const wire::Command& command : commands) {
+    spdlog::debug("workers: command host={} incarnation={} token={} direct={} verb={} task={} attempt={}",
+                  machine.host, machine.incarnation, leadership_.fencing_token(),
+                  delivery == Delivery::direct_call, wire::verb_name(command.verb), command.task,
+                  command.attempt);
+  }
+}
+
 void WorkerManager::append_starts(Machine& machine, Delivery delivery, std::vector<wire::Command>& commands) {
   for (Allocation& allocation : machine.allocations) {
     if (allocation.phase != Allocation::Phase::requested || commands.size() >= kMaxCommandsPerCall)
--- a/src/workers/heartbeats.cpp
+++ b/src/workers/heartbeats.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "delegation/strict_cancellation.hpp"
 #include "wire/job_messages.hpp"
 #include "wire/worker_messages.hpp"
 #include "workers/worker_manager.hpp"
@@ -161,6 +162,7 @@
     capacity_freed |= machine.allocations[i].occupies_machine;
     drop_allocation(machine, i);
   }
+  machine.tasks_listed = true;
   return capacity_freed;
 }
 
@@ -208,6 +210,7 @@
   allocation.requested_at = out_.now();
   allocation.name = wire::task_name(status.ref, status.task);
   allocation.adopted = true;
+  report_if_unexpected(machine, status);
   const bool exited = status.phase == wire::TaskPhase::exited;
   if (exited && status.cause != wire::ExitCause::done) {
     allocation.occupies_machine = false;
@@ -239,6 +242,19 @@
   update_allocation(machine, added, status);
 }
 
+// Reports an attempt that is new on a fenced machine and that no current command has started there: a copy of
+// an earlier start has arrived, after the worker was commanded to forget the attempt.
+void WorkerManager::report_if_unexpected(const Machine& machine, const wire::TaskStatus& status) {
+  if (!machine.fenced || !machine.tasks_listed)
+    return;
+  ++unexpected_attempts_;
+  spdlog::warn(
+      "workers: attempt began without a current start host={} task={}/{} attempt={} attempt_token={} "
+      "leader_token={}",
+      machine.host, status.ref, status.task, status.attempt, delegation::fencing_token_of(status.attempt),
+      leadership_.fencing_token());
+}
+
 void WorkerManager::update_allocation(Machine& machine, Allocation& allocation,
                                       const wire::TaskStatus& status) {
   using TaskPhase = wire::TaskPhase;
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -87,6 +87,7 @@
   bool fenced = false;            ///< No command of an earlier leader can take effect any more.
   std::uint64_t incarnation = 0;  ///< The newest incarnation known, which may be over.
   std::uint64_t sequence = 0;     ///< Sequence number of the newest heartbeat of this incarnation.
+  bool tasks_listed = false;      ///< A heartbeat of this incarnation has been processed.
   Seconds lease_expires_at = 0;   ///< When the lease as granted by this controller has certainly expired.
   Seconds last_contact_at = kNeverContacted;  ///< When the last heartbeat or reply to a direct call arrived.
   Seconds last_heartbeat_at =
--- a/src/workers/worker_manager.hpp
+++ b/src/workers/worker_manager.hpp
@@ -227,6 +227,11 @@
   std::uint64_t commands_sent() const {
     return commands_sent_;
   }
+  /// Attempts that a heartbeat listed although this leader had not started them or had commanded the worker
+  /// to forget them.
+  std::uint64_t unexpected_attempts() const {
+    return unexpected_attempts_;
+  }
   std::uint64_t direct_calls() const {
     return direct_calls_;
   }
@@ -260,6 +265,7 @@
   void update_idle_since(Machine& machine);
   bool notify_ended(Machine& machine);
   void adopt_task(Machine& machine, const wire::TaskStatus& status);
+  void report_if_unexpected(const Machine& machine, const wire::TaskStatus& status);
   void update_allocation(Machine& machine, Allocation& allocation, const wire::TaskStatus& status);
 
   // ---- allocations.cpp
@@ -284,6 +290,8 @@
   void drop_unsent_starts(Machine& machine);
   std::vector<wire::Command> build_commands(Machine& machine, Delivery delivery);
   void append_starts(Machine& machine, Delivery delivery, std::vector<wire::Command>& commands);
+  void log_commands(const Machine& machine, Delivery delivery,
+                    const std::vector<wire::Command>& commands) const;
   void send_queued_commands(Machine& machine);
   void send_direct(Machine& machine, const std::vector<wire::Command>& commands,
                    std::vector<std::uint64_t> started_attempts, Seconds timeout);
@@ -354,6 +362,7 @@
   int calls_in_flight_ = 0;
 
   std::uint64_t commands_sent_ = 0;
+  std::uint64_t unexpected_attempts_ = 0;
   std::uint64_t direct_calls_ = 0;
   std::uint64_t deadline_checks_ = 0;
   std::uint64_t liveness_sweeps_ = 0;
