Scheduler: a gang's task is not started where its attempt is remembered

The tasks of a gang share an attempt number. A guarantee that is reclaimed starts them a few at a time, so a task that was stopped could start again, with the same number, on the machine that still listed its end. A worker ignores a start of an attempt that it remembers, and a copy of the first start or stop would meet the second.

Such a machine is passed over (WorkerManager::ignores_next_start). Test: ForgetCommandTest.AGangIsNotStartedAgainWhereItsAttemptIsRemembered.

--- a/src/scheduling/eligibility.cpp
+++ b/src/scheduling/eligibility.cpp
@@ -34,7 +34,8 @@
 
 bool Scheduler::can_start_on(const Machine& machine, const Job& job, bool ignore_capacity) const {
   if (!has_startable_task(job) || !workers_.accepts_tasks(machine) ||
-      !filters::placement_allowed(job, machine.type, machine.zone, machine.spot))
+      !filters::placement_allowed(job, machine.type, machine.zone, machine.spot) ||
+      workers::WorkerManager::ignores_next_start(machine, job))
     return false;
   if (!ignore_capacity && !machine.fits(job.spec.task_resources))
     return false;
--- a/src/workers/commands.cpp
+++ b/src/workers/commands.cpp
@@ -58,6 +58,16 @@
   return true;
 }
 
+bool WorkerManager::ignores_next_start(const Machine& machine, const jobs::Job& job) {
+  if (!job.is_gang() || job.placed_tasks == 0 || job.pending_tasks.empty())
+    return false;
+  return std::any_of(
+      machine.allocations.begin(), machine.allocations.end(), [&job](const Allocation& allocation) {
+        return allocation.attempt == job.gang_attempt && allocation.task == job.pending_tasks.back() &&
+               allocation.belongs_to(job.spec.ref);
+      });
+}
+
 void WorkerManager::stop_task(Machine& machine, Allocation& allocation, double grace_s) {
   if (!allocation.occupies_machine || (allocation.stop_requested && allocation.grace_s <= grace_s))
     return;
--- a/src/workers/worker_manager.hpp
+++ b/src/workers/worker_manager.hpp
@@ -130,6 +130,9 @@
 
   /// Places the task on the machine and queues its start. Always returns true.
   bool start_task(Machine& machine, jobs::Job& job, std::uint32_t task);
+  /// Whether the worker would ignore a start of the job's next task, because the task would get the attempt
+  /// of its gang and the worker remembers that attempt of it.
+  static bool ignores_next_start(const Machine& machine, const jobs::Job& job);
   /// Queues a stop, unless one with the same or a shorter grace period has been requested already.
   void stop_task(Machine& machine, Allocation& allocation, double grace_s);
   /// Reserves resources on the machine for a task that migrates to it (sign 1), or releases them (-1).
--- a/tests/worker_manager_test.cpp
+++ b/tests/worker_manager_test.cpp
@@ -6,8 +6,12 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <optional>
+#include <utility>
 
+#include "delegation/strict_cancellation.hpp"
 #include "filters/reconciled_filter.hpp"
 #include "wire/cloud_messages.hpp"
 #include "wire/job_messages.hpp"
@@ -389,5 +393,73 @@
   EXPECT_EQ(machine_a.incarnation, 4U);
 }
 
+// Starts one task after the other on a machine and shows what the leader commands.
+class ForgetCommandTest : public WorkerManagerTest {
+ protected:
+  ForgetCommandTest() : machine_(machine_from_inventory("i-1")), job_(earlier_job("req-1", 70)) {
+    heartbeat_with_token("i-1", ++sequence_, {});
+    out_.drain();
+  }
+
+  ListedTask started(std::uint32_t task) {
+    workers_.start_task(machine_, job_, task);
+    return {.ref = "req-1", .attempt = machine_.allocations.back().attempt, .index = task};
+  }
+  static ListedTask failed(ListedTask task) {
+    task.phase = wire::TaskPhase::exited;
+    task.cause = wire::ExitCause::error;
+    return task;
+  }
+  // The queued commands as one direct call; nothing if there is none.
+  std::optional<ports::Call> direct_call() {
+    workers_.flush_commands();
+    for (ports::Action& action : out_.drain()) {
+      if (auto* call = std::get_if<ports::Call>(&action); call && call->target == ports::Target::worker)
+        return std::move(*call);
+    }
+    return std::nullopt;
+  }
+  void answer(const ports::Call& call, const std::vector<ListedTask>& tasks) {
+    wire::Value listed = wire::Value::array();
+    for (const ListedTask& task : tasks)
+      listed.push_back(
+          {{"shard", wire::task_name(task.ref, task.index)}, {"try", task.attempt}, {"phase", "running"}});
+    ports::Reply reply;
+    reply.status = 200;
+    reply.heartbeat = wire::encode_cbor({{"host", "i-1"},
+                                         {"addr", "i-1:1"},
+                                         {"flavour", "small"},
+                                         {"hall", "z0"},
+                                         {"tenure", 1},
+                                         {"counter", ++sequence_},
+                                         {"mandate", kToken},
+                                         {"shards", std::move(listed)}});
+    out_.complete(call.id, reply);
+  }
+  // Whether a command with this verb is in the reply to a heartbeat that lists these tasks.
+  bool commanded(const std::string& verb, const std::vector<ListedTask>& tasks) {
+    const auto reply = workers_.handle_heartbeat(heartbeat_of("i-1", 1, ++sequence_, kToken, tasks));
+    return std::any_of((*reply)["orders"].begin(), (*reply)["orders"].end(),
+                       [&verb](const wire::Value& command) { return command["verb"] == verb; });
+  }
+
+  Machine& machine_;
+  jobs::Job& job_;
+  std::uint64_t sequence_ = 0;
+};
+
+TEST_F(ForgetCommandTest, AGangIsNotStartedAgainWhereItsAttemptIsRemembered) {
+  job_.spec.shape = wire::Shape::gang;
+  const ListedTask first = started(job_.pending_tasks.back());
+  const ListedTask second = started(job_.pending_tasks.back());
+  ASSERT_EQ(first.attempt, second.attempt);
+  answer(direct_call().value(), {first, second});
+  commanded("reap", {failed(first), second});
+  ASSERT_EQ(job_.pending_tasks.back(), first.index);
+  EXPECT_TRUE(workers_.ignores_next_start(machine_, job_));
+  commanded("reap", {failed(first), failed(second)});
+  EXPECT_FALSE(workers_.ignores_next_start(machine_, job_)) << "the whole gang starts with a new attempt";
+}
+
 }  // namespace
 }  // namespace wingtrail::workers
