Workers: an attempt is forgotten only when no copy of its start can be accepted

Cause: a permission to forget that is given too early. By PROTOCOL a start that follows reap starts the attempt again. The leader withheld reap only while a direct start was unanswered, but a copy of an answered call can arrive as well.

Change: an allocation keeps the token of its newest direct start that was delivered and not refused. Reap is sent only in a message with a higher token, which the worker stores before it carries the reap out, or if no direct start was delivered. This holds for adopted attempts by the token in their number. An answer that cannot be read no longer counts as proof that nothing started. A machine has at most 64 attempts that are kept; beyond that its starts go out in replies to heartbeats, which have no copies.

Five minutes of four one-task jobs a second under one leader keep every heartbeat below 16 KiB.

--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -140,6 +140,8 @@
   std::uint64_t machines_rented = 0;
   std::uint64_t machines_returned = 0;
   std::uint64_t commands_sent = 0;
+  workers::WorkerManager::ForgetCommands forgets;
+  workers::WorkerManager::RetainedAttempts retained_attempts;
   std::uint64_t unexpected_attempts = 0;  ///< attempts that began without a current start
   std::uint64_t direct_calls = 0;
   std::uint64_t deadline_checks = 0;
--- a/src/controller/stats.cpp
+++ b/src/controller/stats.cpp
@@ -57,6 +57,8 @@
   s.state_requests = store_.requests();
   s.state_throttled = store_.throttled();
   s.commands_sent = workers_.commands_sent();
+  s.forgets = workers_.forgets();
+  s.retained_attempts = workers_.retained_attempts();
   s.unexpected_attempts = workers_.unexpected_attempts();
   s.machines_rented = autoscaler_.machines_rented();
   s.machines_returned = autoscaler_.machines_returned();
--- a/src/daemon/metrics_exporter.cpp
+++ b/src/daemon/metrics_exporter.cpp
@@ -24,6 +24,10 @@
   prometheus::Family<prometheus::Gauge>& gauges(const char* name, const char* help) {
     return prometheus::BuildGauge().Name(name).Help(help).Register(registry_);
   }
+  // The same for counters.
+  prometheus::Family<prometheus::Counter>& counters(const char* name, const char* help) {
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry_);
+  }
   std::string text() const {
     return prometheus::TextSerializer().Serialize(registry_.Collect());
   }
@@ -134,6 +138,16 @@
   page.counter("wingtrail_alarms_total", "liveness sweeps: calls to every machine to check that it is alive",
                stats.liveness_sweeps);
   page.counter("wingtrail_orders_total", "commands sent to workers", stats.commands_sent);
+  auto& forgets = page.counters("wingtrail_forget_commands_total",
+                                "commands to forget an attempt, by the reason why they were allowed");
+  forgets.Add({{"reason", "no_direct_start"}})
+      .Increment(static_cast<double>(stats.forgets.without_direct_start));
+  forgets.Add({{"reason", "higher_token"}}).Increment(static_cast<double>(stats.forgets.by_higher_token));
+  page.gauge("wingtrail_retained_attempts",
+             "attempts started by direct calls that workers must not forget under the current token",
+             static_cast<double>(stats.retained_attempts.total));
+  page.gauge("wingtrail_retained_attempts_largest", "largest number of such attempts on one machine",
+             static_cast<double>(stats.retained_attempts.most_on_a_machine));
   page.counter("wingtrail_unexpected_attempts_total",
                "attempts that began on a worker without a current start command", stats.unexpected_attempts);
   page.counter("wingtrail_commits_total", "transactions committed as leader", stats.commits);
--- a/src/simulation/controllers.cpp
+++ b/src/simulation/controllers.cpp
@@ -112,6 +112,8 @@
     run_report_.elections += c.was_leader;
     if (c.was_leader && !held_heartbeats_.empty())
       release_held_heartbeats(i);
+    if (c.was_leader)
+      release_held_copies();
   }
   // At most one controller may hold an unexpired leader lease; every other rule depends on it.
   std::size_t leases_held = 0;
@@ -241,17 +243,22 @@
         executing_late_write_ = false;
         return;
       case ports::Target::cloud:
-        return cloud_request(call.method, call.path, call.body, back);
+        return request_from_cloud(call, back);
       case ports::Target::peer:
-        return deliver_frame(peer, *call.frame, [this, caller, to, finish](const ports::Answer& a) {
-          send(to, caller, [this, finish, a] {
-            ports::Reply r;
-            r.status = a.status;
-            if (a.frame)
-              r.frame = received(*a.frame);
-            finish(r);
-          });
-        });
+        return deliver_frame(peer, *call.frame,
+                             [this, caller, to, finish, peer, call](const ports::Answer& a) {
+                               may_arrive_again([this, peer, frame = *call.frame] {
+                                 ++run_report_.repeated_requests;
+                                 deliver_frame(peer, frame, [](const ports::Answer&) {});
+                               });
+                               send(to, caller, [this, finish, a] {
+                                 ports::Reply r;
+                                 r.status = a.status;
+                                 if (a.frame)
+                                   r.frame = received(*a.frame);
+                                 finish(r);
+                               });
+                             });
       case ports::Target::worker: {
         if (!host || host->gone || host->dead || !host->up)
           return;
@@ -262,8 +269,7 @@
           WorkerMachine& machine = *machines_.at(name);
           if (machine.gone || machine.dead || !machine.up)
             return;
-          check_lease(machine);
-          const int status = execute_commands(machine, call.body, true);
+          const int status = answer_commands(machine, call.body);
           back(status, status == 400 ? Value::object() : heartbeat_value(machine));
         };
         if (delay_command(*host, call.body))
@@ -281,6 +287,14 @@
   });
 }
 
+void SimulatedCluster::request_from_cloud(const ports::Call& call, const ReplyCallback& reply) {
+  if (call.method == "GET")
+    return cloud_request(call.method, call.path, call.body, reply);
+  cloud_request(call.method, call.path, call.body, repeat_if_executed(reply, [this, call] {
+                  cloud_request(call.method, call.path, call.body, [](int, const Value&) {});
+                }));
+}
+
 void SimulatedCluster::deliver_frame(std::size_t node, const peer::Frame& frame, AnswerCallback then) {
   after_request_delay(node, [this, node, frame, then = std::move(then)] { handle_frame(node, frame, then); });
 }
--- a/src/simulation/random_faults.cpp
+++ b/src/simulation/random_faults.cpp
@@ -52,7 +52,7 @@
 // Triggers one of the faults of combined_faults.cpp, some of them together with another fault.
 void SimulatedCluster::combined_fault() {
   const double span = random_between(5, 40);
-  const auto kind = random_index(plan_.late_commands ? 15 : 12);
+  const auto kind = random_index(plan_.repeated_requests ? 18 : plan_.late_commands ? 15 : 12);
   const std::size_t i = random_index(plan_.nodes), on = leader().value_or(i);
   spdlog::debug("simulation: combined_fault t={:.3f} kind={} for_s={:.1f}", now_, kind, span);
   switch (kind) {
@@ -97,6 +97,15 @@
       delay_commands(random_between(0.2, 0.6), span + 10);
       fail_machines(MachineFault::hung, 1 + random_index(3), span);
       return add_event_after(random_between(0, 5), [this] { crash(leader().value_or(0)); });
+    case 15:
+      return repeat_requests(random_between(0.1, 0.6), 2 * span);
+    case 16:  // the leader and some machines fail for a short time
+      repeat_requests(random_between(0.1, 0.6), 2 * span);
+      fail_machines(MachineFault::hung, 1 + random_index(3), random_between(0.2, 1));
+      return add_event_after(random_between(0, span), [this] { crash(leader().value_or(0)); });
+    case 17:
+      repeat_requests(random_between(0.1, 0.6), 2 * span);
+      return cancel_running_jobs(1 + random_index(6), 0);
     default:
       return slow_down_links(std::min(span, 15.0));
   }
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -32,6 +32,7 @@
   plan.fair_admission = seed / 5 % 2 == 0;
   plan.combined_faults = seed >= 1'000'000;
   plan.late_commands = seed >= 2'000'000;
+  plan.repeated_requests = seed >= 3'000'000;
   // A team's quota admits only a few large tasks at a time (seed 2000174: 102 tasks, 12 at a time).
   if (plan.late_commands)
     plan.settle_s = 1500;
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -91,6 +91,8 @@
   /// The combined faults include direct commands that arrive late, and old heartbeats that reach a new leader
   /// before any worker does.
   bool late_commands = false;
+  /// The combined faults include copies of requests that were carried out and answered.
+  bool repeated_requests = false;
   /// Longest time without an answer to the queries of a job, after the end of all faults; seconds.
   double unanswered_limit_s = 75;
   /// Name of a fault that is planted on purpose, to show that a check can fail.
@@ -98,7 +100,8 @@
 };
 
 /// Returns the plan that random_fault_search and the tests run for a seed: odd seeds with dependencies, every
-/// third one with an upgrade, from 1 000 000 on with combined faults, from 2 000 000 on with late commands.
+/// third one with an upgrade, from 1 000 000 on with combined faults, from 2 000 000 on with late commands,
+/// from 3 000 000 on with repeated requests.
 SimulationPlan plan_of(std::uint64_t seed);
 
 /// What happened in a simulated run.
@@ -140,6 +143,10 @@
   std::size_t late_heartbeats = 0, held_heartbeats = 0;
   /// Direct commands delivered late.
   std::size_t late_commands = 0;
+  /// Copies of answered direct commands, and of other answered requests.
+  std::size_t repeated_commands = 0, repeated_requests = 0;
+  /// Most tasks in a heartbeat, and the size of that heartbeat as JSON, in bytes.
+  std::size_t most_tasks_listed = 0, largest_heartbeat = 0;
   /// Tasks started again after an answered heartbeat had reported them as done to an earlier leader.
   std::size_t again_after_done = 0;
   /// Answers and commands lost on the way to machines, and heartbeats lost on the way from them.
@@ -242,6 +249,10 @@
   /// This share of direct commands gets no answer and is executed once, 2 to 16 s later, if fencing token and
   /// incarnation still match.
   void delay_commands(double share, double for_s);
+  /// Of this share of the requests that are carried out and answered, a copy arrives once more, up to
+  /// `longest_delay_s` later or at the next election: direct commands, calls to the state service and the
+  /// cloud, frames between controllers, users' submissions and cancellations.
+  void repeat_requests(double share, double for_s, double longest_delay_s = 60);
   enum class MachineFault : std::uint8_t {
     hung,           // executes nothing until the fault ends, then continues
     incoming_lost,  // its heartbeats arrive; answers to them and direct commands are lost
@@ -422,6 +433,7 @@
   double node_time(const SimulatedController& c) const;
   void run_controller(std::size_t i);
   void execute_call(std::size_t i, const ports::Call& call);
+  void request_from_cloud(const ports::Call& call, const ReplyCallback& reply);
   void deliver(std::size_t i, controller::IncomingRequest request, AnswerCallback then);
   /// Delivers a request whose delay, if any, is over.
   void handle_request(std::size_t i, controller::IncomingRequest request, AnswerCallback then);
@@ -439,7 +451,7 @@
   // state service
   void record_change(const std::string& key, Value value, bool erased);
   void expire_leases();
-  void execute_write_late(std::size_t node, const Value& body);
+  void execute_late(std::size_t node, const std::string& method, const std::string& path, const Value& body);
   bool exceeds_limits(const Value& body, const settings::Settings& s, double share) const;
   void serve_watches();
   void end_watch(const std::shared_ptr<Watch>& w);
@@ -457,7 +469,9 @@
   void schedule_heartbeat(WorkerMachine& machine, double delay);
   Value heartbeat_value(WorkerMachine& machine);
   bool delay_command(const WorkerMachine& machine, const Value& body);
-  int execute_commands(WorkerMachine& machine, const Value& body, bool direct);
+  int execute_commands(WorkerMachine& machine, const Value& body);
+  int answer_commands(WorkerMachine& machine, const Value& body);
+  void deliver_commands_late(const std::string& host, const Value& body);
   void execute_command(WorkerMachine& machine, const Value& command);
   void start_gang_if_complete(UserJob& job, std::uint64_t attempt, double run);
   UserJob* find_job_in_any_cell(const std::string& ref);
@@ -484,6 +498,8 @@
   void poll_every_node(UserJob& job);
   void send_malformed_request();
   void start_uncommanded_task(const UserJob& job);
+  void deliver_from_user(std::size_t node, const controller::IncomingRequest& request,
+                         const AnswerCallback& then);
   void release_held_heartbeats(std::size_t node);
   void record_query();
   void record_answer(UserJob& job);
@@ -494,6 +510,11 @@
   /// Returns the time from which no fault is left.
   double faults_end_at() const;
 
+  // repeated requests
+  void may_arrive_again(std::function<void()> arrive);
+  void release_held_copies();
+  ReplyCallback repeat_if_executed(ReplyCallback reply, std::function<void()> arrive);
+
   // faults
   void random_fault();
   void combined_fault();
@@ -560,6 +581,8 @@
   bool late_writes_at_once_ = false, executing_late_write_ = false;
   DuplicateArrival duplicate_arrival_ = DuplicateArrival::later;
   double late_command_share_ = 0, late_commands_until_ = -1;
+  double repeated_request_share_ = 0, requests_repeated_until_ = -1, longest_copy_delay_ = 0;
+  std::vector<std::function<void()>> held_copies_;
   std::vector<controller::IncomingRequest> held_heartbeats_;
   double cancel_at_end_share_ = 0, cancel_at_end_until_ = -1, malformed_requests_until_ = -1,
          close_polls_until_ = -1;
--- a/src/simulation/state_service.cpp
+++ b/src/simulation/state_service.cpp
@@ -124,9 +124,10 @@
   w->reply(200, {{"ledgerRev", revision_}, {"events", Value::array()}});
 }
 
-void SimulatedCluster::execute_write_late(std::size_t node, const Value& body) {
+void SimulatedCluster::execute_late(std::size_t node, const std::string& method, const std::string& path,
+                                    const Value& body) {
   executing_late_write_ = true;
-  state_service_request(node, "POST", "/txn", body, [](int, const Value&) {});
+  state_service_request(node, method, path, body, [](int, const Value&) {});
   executing_late_write_ = false;
 }
 
@@ -147,6 +148,9 @@
   expire_leases();
   if (now_ < state_down_until_ || now_ < state_refuses_[node])
     return reply(503, Value::object());
+  if (method != "GET" && !executing_late_write_)
+    reply = repeat_if_executed(std::move(reply),
+                               [this, node, method, path, body] { execute_late(node, method, path, body); });
   const double passed = now_ - state_at_;
   state_level_ =
       std::min(settings_.state_requests_per_s, state_level_ + passed * settings_.state_requests_per_s);
@@ -221,7 +225,7 @@
       exceeds_limits(body, controllers_[node]->runs_former_version ? settings_before_upgrade_ : settings_, 1))
     report_violation("protocol", "a transaction over the limits: " + to_json(body).substr(0, 300));
   if (path == "/txn" && plan_.late_writes > 0 && random_bool(plan_.late_writes)) {
-    add_event_after(random_between(2, 12), [this, node, body] { execute_write_late(node, body); });
+    add_event_after(random_between(2, 12), [this, node, body] { execute_late(node, "POST", "/txn", body); });
     return;
   }
   if (path == "/txn" && !executing_late_write_ && now_ < late_writes_until_ &&
@@ -230,7 +234,8 @@
     (at_once ? run_report_.lost_replies : run_report_.late_writes) += body["apply"].empty() ? 0 : 1;
     if (!at_once) {
       extend_fault_period(12);
-      add_event_after(random_between(2, 12), [this, node, body] { execute_write_late(node, body); });
+      add_event_after(random_between(2, 12),
+                      [this, node, body] { execute_late(node, "POST", "/txn", body); });
       return;
     }
     reply = [](int, const Value&) {
--- a/src/simulation/users.cpp
+++ b/src/simulation/users.cpp
@@ -179,7 +179,7 @@
   auto answered = std::make_shared<bool>(false);
   const bool was_final = job.reported_done || job.cancellation_confirmed_at >= 0;
   send("users", node_name(node), [this, node, request, &job, answered, was_final, since] {
-    deliver(node, request, [this, &job, answered, was_final, since](const ports::Answer& answer) {
+    deliver_from_user(node, request, [this, &job, answered, was_final, since](const ports::Answer& answer) {
       if (*answered)
         return;
       run_report_.deferred += answer.status == 429;
@@ -315,7 +315,7 @@
   request.method = "POST";
   request.path = std::string(wire::kJobsPath) + "/" + job.spec.ref + wire::kAbortSuffix;
   send("users", node_name(node), [this, node, request, &job] {
-    deliver(node, request, [this, &job](const ports::Answer& answer) {
+    deliver_from_user(node, request, [this, &job](const ports::Answer& answer) {
       if (answer.status == 404)
         return report_violation("forgotten", job.spec.ref + " by abort");
       run_report_.cancellations_deferred += answer.status != 200;
--- a/src/simulation/workers.cpp
+++ b/src/simulation/workers.cpp
@@ -83,6 +83,10 @@
   request.path = wire::kHeartbeatPath;
   Value heartbeat = heartbeat_value(machine);
   request.body = wire::encode_cbor(heartbeat);
+  if (machine.tasks.size() > run_report_.most_tasks_listed) {
+    run_report_.most_tasks_listed = machine.tasks.size();
+    run_report_.largest_heartbeat = heartbeat.dump().size();
+  }
   auto next = [this, me, serial](double delay, bool other) {
     WorkerMachine& worker = *machines_.at(me);
     if (worker.gone || worker.dead || worker.heartbeat_serial != serial || !worker.reporting)
@@ -159,19 +163,8 @@
   if (now_ >= late_commands_until_ || !random_bool(late_command_share_))
     return false;
   ++run_report_.late_commands;
-  add_event_after(random_between(2, 16), [this, name = machine.name, body] {
-    const WorkerMachine& held = *machines_.at(name);
-    if (held.gone || held.dead || !held.up)
-      return;
-    const auto execute = [this, name, body] {
-      WorkerMachine& there = *machines_.at(name);
-      if (there.gone || there.dead)
-        return;
-      check_lease(there);
-      execute_commands(there, body, true);
-    };
-    now_ < held.hung_until ? add_event(held.hung_until + 1e-6, execute) : execute();
-  });
+  add_event_after(random_between(2, 16),
+                  [this, name = machine.name, body] { deliver_commands_late(name, body); });
   return true;
 }
 
@@ -185,12 +178,11 @@
     return std::nullopt;
   if (delay_command(machine, body))
     return std::nullopt;
-  check_lease(machine);
-  const int status = execute_commands(machine, body, true);
+  const int status = answer_commands(machine, body);
   return std::pair(status, status == 400 ? Value::object() : heartbeat_value(machine));
 }
 
-int SimulatedCluster::execute_commands(WorkerMachine& machine, const Value& body, bool) {
+int SimulatedCluster::execute_commands(WorkerMachine& machine, const Value& body) {
   const auto token = wire::count(body, "mandate"), incarnation = wire::count(body, "tenure");
   if (!token || !incarnation)
     return 400;
--- a/src/workers/allocation.hpp
+++ b/src/workers/allocation.hpp
@@ -9,8 +9,9 @@
 ///    the reply to the previous one, or never will. So the next heartbeat that the worker sends on its own
 ///    confirms or rules out a start that was sent in a reply. Elapsed time alone proves nothing: the worker
 ///    may have acted on the reply and become unresponsive afterwards.
-///  - Reply to a direct call: it lists the worker's tasks after the commands have been carried out. A command
-///    that was delivered but not answered may still arrive, at any time within the incarnation.
+///  - Reply to a direct call: it lists the worker's tasks after the commands have been carried out. A copy
+///    of a call that was delivered may arrive at any time within the incarnation, answered or not. Only a
+///    refusal excludes that, because the reason of a refusal does not pass.
 ///  - Incarnation: the period in which a worker process holds its lease without interruption. Commands name
 ///    the incarnation that they are for, and a worker refuses commands for any other.
 ///  - Lease: a worker whose lease expires kills its tasks and begins a new incarnation. So once the lease has
@@ -64,11 +65,11 @@
   Seconds start_in_reply_until = 0;
   /// A start of this attempt was sent in the reply to a heartbeat. Reset by the worker's next heartbeat.
   bool start_in_reply_unconfirmed = false;
-  /// A direct call with a start of this attempt was delivered but not answered, so the start may
-  /// still arrive. The worker ignores it as long as it remembers the attempt. So the attempt must not
-  /// be acknowledged: by the worker protocol, a start that arrives after the command `reap` starts
-  /// the attempt again.
-  bool late_start_possible = false;
+  /// Fencing token of the newest direct call with a start of this attempt that was delivered and not refused;
+  /// 0: there was none. A copy of that call may still arrive. The worker ignores it as long as it remembers
+  /// the attempt or has seen a higher token. By the worker protocol, a start that arrives after the command
+  /// `reap` starts the attempt again.
+  std::uint64_t direct_start_token = 0;
 
   /// Whether the worker may be commanded to forget the exited task: its completion is persisted, or it ended
   /// without a result and nothing needs to be persisted.
@@ -85,13 +86,23 @@
   bool stops_immediately() const {
     return stop_requested && grace_s == 0;
   }
-  /// Whether a start of this attempt may still reach the worker.
+  /// Whether a worker that has seen this fencing token may still accept a direct start of this attempt.
+  bool late_start_possible(std::uint64_t fencing_token) const {
+    return direct_start_token > 0 && direct_start_token >= fencing_token;
+  }
+  /// Whether a first start of this attempt is under way to the worker.
   bool start_in_flight(Seconds now) const {
-    return start_call_in_flight || late_start_possible || now < start_in_reply_until;
+    return start_call_in_flight || now < start_in_reply_until;
+  }
+  /// Whether the worker may be commanded to forget the attempt, in a message with this fencing token.
+  bool may_be_forgotten(std::uint64_t fencing_token, Seconds now) const {
+    return phase == Phase::exited && may_acknowledge && !start_in_flight(now) &&
+           !late_start_possible(fencing_token);
   }
   /// Whether it is proved that no start of this attempt has reached the worker or can still reach it.
   bool certainly_not_started(Seconds now) const {
-    return phase == Phase::requested && !start_in_reply_unconfirmed && !start_in_flight(now);
+    return phase == Phase::requested && !start_in_reply_unconfirmed && !start_in_flight(now) &&
+           direct_start_token == 0;
   }
 };
 
--- a/src/workers/commands.cpp
+++ b/src/workers/commands.cpp
@@ -28,6 +28,15 @@
 // it is answered.
 constexpr double kConnectionShare = 0.08;
 constexpr int kMinConcurrentCalls = 8;
+// Limit on the attempts of a machine that were started directly and cannot be forgotten yet. Its heartbeats
+// list all of them. Beyond the limit, starts are sent in replies to heartbeats only.
+constexpr std::size_t kMaxRetainedAttempts = 64;
+constexpr int kStatusConflict = 409;
+
+// Whether a copy of the answered or unanswered call may still be carried out.
+bool may_be_carried_out_later(const ports::Reply& reply) {
+  return reply.delivered && reply.status != kStatusConflict;
+}
 }  // namespace
 
 bool WorkerManager::start_task(Machine& machine, jobs::Job& job, std::uint32_t task) {
@@ -119,9 +128,10 @@
   for (const Allocation& allocation : machine.allocations) {
     if (commands.size() >= kMaxCommandsPerCall)
       break;
-    if (allocation.phase == Allocation::Phase::exited && allocation.may_acknowledge &&
-        !allocation.start_in_flight(out_.now()))
-      commands.push_back({Verb::forget, allocation.name, allocation.attempt});
+    if (!allocation.may_be_forgotten(leadership_.fencing_token(), out_.now()))
+      continue;
+    commands.push_back({Verb::forget, allocation.name, allocation.attempt});
+    ++(allocation.direct_start_token > 0 ? forgets_.by_higher_token : forgets_.without_direct_start);
   }
   machine.delivery.last_sent_at = out_.now();
   // The reply to a heartbeat may overtake a direct call that is in flight, and a start must not overtake the
@@ -150,7 +160,26 @@
   }
 }
 
+std::size_t WorkerManager::retained_attempts(const Machine& machine) const {
+  const std::uint64_t token = leadership_.fencing_token();
+  return static_cast<std::size_t>(std::count_if(
+      machine.allocations.begin(), machine.allocations.end(), [token](const Allocation& allocation) {
+        return allocation.start_call_in_flight || allocation.late_start_possible(token);
+      }));
+}
+
+WorkerManager::RetainedAttempts WorkerManager::retained_attempts() const {
+  RetainedAttempts retained;
+  for (const MachineIndex index : live_machines_) {
+    const std::size_t on_machine = retained_attempts(machines_[index]);
+    retained.total += on_machine;
+    retained.most_on_a_machine = std::max(retained.most_on_a_machine, on_machine);
+  }
+  return retained;
+}
+
 void WorkerManager::append_starts(Machine& machine, Delivery delivery, std::vector<wire::Command>& commands) {
+  std::size_t retained = delivery == Delivery::direct_call ? retained_attempts(machine) : 0;
   for (Allocation& allocation : machine.allocations) {
     if (allocation.phase != Allocation::Phase::requested || commands.size() >= kMaxCommandsPerCall)
       continue;
@@ -160,8 +189,12 @@
     const jobs::Job* job = registry_.job_at(allocation.job);
     if (!job || !job->is_open())
       continue;
+    const bool is_repetition = allocation.late_start_possible(leadership_.fencing_token());
+    if (delivery == Delivery::direct_call && !is_repetition && retained >= kMaxRetainedAttempts)
+      continue;
     commands.push_back({wire::Command::Verb::start, allocation.name, allocation.attempt});
     if (delivery == Delivery::direct_call) {
+      retained += is_repetition ? 0 : 1;
       allocation.start_call_in_flight = true;
     } else {
       allocation.start_in_reply_until = out_.now() + kWorkerReplyWait;
@@ -253,11 +286,14 @@
   call.timeout_s = timeout;
   call.not_after = leadership_.lease_expires_at();
   out_.call(std::move(call), [this, index = machine.index, incarnation = machine.incarnation, term = term_,
+                              token = leadership_.fencing_token(),
                               started_attempts = std::move(started_attempts)](const ports::Reply& reply) {
     if (term != term_)
       return;
     --calls_in_flight_;
-    on_commands_reply(index, incarnation, started_attempts, reply);
+    if (machines_[index].incarnation == incarnation)
+      record_start_call(machines_[index], token, started_attempts, reply);
+    on_commands_reply(index, reply);
   });
 }
 
@@ -276,24 +312,26 @@
   });
 }
 
-void WorkerManager::on_commands_reply(MachineIndex index, std::uint64_t incarnation,
+// Records what the outcome of a direct call, sent with this fencing token, says about the starts in it.
+void WorkerManager::record_start_call(Machine& machine, std::uint64_t fencing_token,
                                       const std::vector<std::uint64_t>& started_attempts,
                                       const ports::Reply& reply) {
+  for (Allocation& allocation : machine.allocations) {
+    if (!allocation.start_call_in_flight || std::find(started_attempts.begin(), started_attempts.end(),
+                                                      allocation.attempt) == started_attempts.end())
+      continue;
+    allocation.start_call_in_flight = false;
+    if (may_be_carried_out_later(reply))
+      allocation.direct_start_token = std::max(allocation.direct_start_token, fencing_token);
+  }
+}
+
+void WorkerManager::on_commands_reply(MachineIndex index, const ports::Reply& reply) {
   Machine& machine = machines_[index];
   machine.delivery.call_in_flight = false;
   if (machine.gone)
     return;
-  const bool unanswered = reply.status == 0;
-  if (machine.incarnation == incarnation) {
-    for (Allocation& allocation : machine.allocations) {
-      if (!allocation.start_call_in_flight || std::find(started_attempts.begin(), started_attempts.end(),
-                                                        allocation.attempt) == started_attempts.end())
-        continue;
-      allocation.start_call_in_flight = false;
-      allocation.late_start_possible |= unanswered && reply.delivered;
-    }
-  }
-  if (reply.status == 200 || reply.status == 409) {
+  if (reply.status == 200 || reply.status == kStatusConflict) {
     if (!apply_commands_reply(machine, reply))
       return;
   } else {
--- a/src/workers/heartbeats.cpp
+++ b/src/workers/heartbeats.cpp
@@ -210,6 +210,7 @@
   allocation.requested_at = out_.now();
   allocation.name = wire::task_name(status.ref, status.task);
   allocation.adopted = true;
+  allocation.direct_start_token = delegation::fencing_token_of(status.attempt);
   report_if_unexpected(machine, status);
   const bool exited = status.phase == wire::TaskPhase::exited;
   if (exited && status.cause != wire::ExitCause::done) {
--- a/src/workers/worker_manager.hpp
+++ b/src/workers/worker_manager.hpp
@@ -230,6 +230,19 @@
   std::uint64_t commands_sent() const {
     return commands_sent_;
   }
+  /// Commands to forget an attempt, by the reason why no start of it can be carried out any more.
+  struct ForgetCommands {
+    std::uint64_t without_direct_start = 0;  ///< No direct call with its start was delivered.
+    std::uint64_t by_higher_token = 0;       ///< The worker refuses the fencing token of its starts.
+  };
+  const ForgetCommands& forgets() const {
+    return forgets_;
+  }
+  /// Attempts that workers must not forget yet, because a copy of a direct start may arrive.
+  struct RetainedAttempts {
+    std::size_t total = 0, most_on_a_machine = 0;
+  };
+  RetainedAttempts retained_attempts() const;
   /// Attempts that a heartbeat listed although this leader had not started them or had commanded the worker
   /// to forget them.
   std::uint64_t unexpected_attempts() const {
@@ -295,12 +308,15 @@
   void append_starts(Machine& machine, Delivery delivery, std::vector<wire::Command>& commands);
   void log_commands(const Machine& machine, Delivery delivery,
                     const std::vector<wire::Command>& commands) const;
+  std::size_t retained_attempts(const Machine& machine) const;
   void send_queued_commands(Machine& machine);
   void send_direct(Machine& machine, const std::vector<wire::Command>& commands,
                    std::vector<std::uint64_t> started_attempts, Seconds timeout);
   void sweep_if_overdue(const Machine& machine);
-  void on_commands_reply(MachineIndex index, std::uint64_t incarnation,
-                         const std::vector<std::uint64_t>& started_attempts, const ports::Reply& reply);
+  static void record_start_call(Machine& machine, std::uint64_t fencing_token,
+                                const std::vector<std::uint64_t>& started_attempts,
+                                const ports::Reply& reply);
+  void on_commands_reply(MachineIndex index, const ports::Reply& reply);
   bool apply_commands_reply(Machine& machine, const ports::Reply& reply);
   void on_call_failed(Machine& machine, const ports::Reply& reply);
   bool has_commands(const Machine& machine) const;
@@ -365,6 +381,7 @@
   int calls_in_flight_ = 0;
 
   std::uint64_t commands_sent_ = 0;
+  ForgetCommands forgets_;
   std::uint64_t unexpected_attempts_ = 0;
   std::uint64_t direct_calls_ = 0;
   std::uint64_t deadline_checks_ = 0;
--- a/tests/late_messages_test.cpp
+++ b/tests/late_messages_test.cpp
@@ -115,6 +115,58 @@
   });
 }
 
+// Machines fail, jobs are cancelled and leaders crash while copies of carried-out requests arrive.
+TEST(LateMessages, ACopyOfAnAnsweredStartStartsNoTaskAgain) {
+  run_seeds(6, 300, [](std::uint64_t seed) {
+    SimulationPlan plan = deployed(seed, 8);
+    plan.back_from = 0.1;
+    plan.back_to = 0.9;
+    FaultRun fault_run(plan);
+    fault_run.cluster.repeat_requests(0.3, 85);
+    fault_run.long_arrays(8, 20);
+    fault_run.stream(120, 0.4, 0.4, 2, 5);
+    fault_run.cancel(10, 5, 60, 1.1);
+    for (double t = 48 + static_cast<double>(seed % 10); t < 125; t += 17) {
+      fault_run.at(t, [&] { fault_run.crash_leader(); });
+      fault_run.at(t + 5, [&fault_run] {
+        fault_run.cluster.fail_machines(SimulatedCluster::MachineFault::hung, 2, 0.8);
+      });
+    }
+    fault_run.cluster.step(130);
+    EXPECT_GT(fault_run.elections(), 4U) << "expected the leader to change";
+    const RunReport& report = fault_run.finish();
+    EXPECT_GT(report.repeated_requests, 50U);
+    return report.repeated_commands;
+  });
+}
+
+TEST(LateMessages, ACopyOfAnAnsweredStartStartsNothingBeyondTheQuota) {
+  run_seeds(4, 100, [](std::uint64_t seed) {
+    SimulationPlan plan = deployed(seed, 12);
+    plan.budget_limits = true;
+    FaultRun fault_run(plan);
+    fault_run.cluster.repeat_requests(0.5, 80);
+    fault_run.long_arrays(12, 15, 4);
+    fault_run.stream(115, 0.3, 0.4, 3, 4);
+    fault_run.at(60, [&] { fault_run.cluster.cancel_running_jobs(5, 0); });
+    fault_run.at(80 + static_cast<double>(seed), [&] { fault_run.crash_leader(); });
+    fault_run.cluster.step(120);
+    return fault_run.finish().repeated_commands;
+  });
+}
+
+TEST(LateMessages, HeartbeatsStaySmallWhileOneLeaderStartsFourTasksASecond) {
+  constexpr std::size_t kMaxHeartbeat = 16 * 1024;  // bytes
+  constexpr double kFrom = 40, kUntil = 340, kJobsPerS = 4;
+  FaultRun fault_run(deployed(1, 8));
+  fault_run.stream(kUntil, 1 / kJobsPerS, 0.25);
+  fault_run.cluster.step(kUntil);
+  EXPECT_EQ(fault_run.elections(), 1U);
+  const RunReport& report = fault_run.finish();
+  EXPECT_GT(report.finished, static_cast<std::size_t>((kUntil - kFrom) * kJobsPerS / 2));
+  EXPECT_LE(report.largest_heartbeat, kMaxHeartbeat) << report.most_tasks_listed << " tasks in it";
+}
+
 // Leaders crash shortly after one another and restart within a second; then all controllers crash, and only
 // one restarts for good at first.
 TEST(LateMessages, LeadersCrashAndRestartWithinASecond) {
--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -167,11 +167,12 @@
     if (options_.tell)
       schedule_progress();
   }
-  // Delays direct commands and sends copies of heartbeats to every controller again.
+  // Delays direct commands, sends copies of heartbeats to every controller again, and repeats requests.
   void schedule_late_messages() {
-    constexpr double kDelayedCommands = 0.3, kDuplicatedHeartbeats = 0.4;  // shares
+    constexpr double kDelayedCommands = 0.3, kDuplicatedHeartbeats = 0.4, kRepeatedRequests = 0.3;  // shares
     const double duration_s = options_.seconds * 0.6;
     cluster_->delay_commands(kDelayedCommands, duration_s);
+    cluster_->repeat_requests(kRepeatedRequests, duration_s);
     cluster_->duplicate_heartbeats_late(kDuplicatedHeartbeats, duration_s,
                                         SimulatedCluster::DuplicateArrival::later);
   }
@@ -230,7 +231,9 @@
       print_progress(std::to_string(v.accepted) + " jobs accepted, " + std::to_string(v.started) +
                      " tasks started, " + std::to_string(v.finished) + " jobs done, " +
                      std::to_string(v.cancelled) + " cancelled; " + std::to_string(v.late_commands) +
-                     " commands and " + std::to_string(v.late_heartbeats) + " heartbeats came late; " +
+                     " commands and " + std::to_string(v.late_heartbeats) + " heartbeats came late, " +
+                     std::to_string(v.repeated_commands) + " commands and " +
+                     std::to_string(v.repeated_requests) + " other requests twice; " +
                      (v.broken_rules.empty() ? "no rule broken" : "A RULE WAS BROKEN"));
       schedule_progress();
     });
@@ -434,8 +437,9 @@
   app.add_flag(
       "--gap", options.gap,
       "after 50 s the state service refuses the leader alone, jobs are cancelled, and it is down for 45 s");
-  app.add_flag("--late-messages", options.late_messages,
-               "delay direct commands, and send copies of heartbeats to every controller again");
+  app.add_flag(
+      "--late-messages", options.late_messages,
+      "delay direct commands, send copies of heartbeats to every controller again, and repeat requests");
   app.add_flag("--soak", options.soak,
                "overlapping faults until 40 s before the end; then every job must be answered within 20 s");
   app.add_option("--workers", options.workers, "number of workers of a soak; 0: the default")
@@ -484,12 +488,15 @@
         std::max(total.longest_unanswered_beside_answers, own.longest_unanswered_beside_answers);
     total.batched += own.batched, total.unfinished += own.unfinished,
         total.remote_tasks_started += own.remote_tasks_started;
+    total.repeated_commands += own.repeated_commands, total.repeated_requests += own.repeated_requests;
   }
   std::cout << total.accepted << " jobs accepted, " << total.started << " tasks started, " << total.finished
             << " jobs done, " << total.with_dependencies << " with needs, " << total.orphaned
             << " cancelled with one, " << total.cancelled << " cancelled, " << total.batched
             << " admitted on sheets, " << total.unfinished << " left undone, " << total.remote_tasks_started
-            << " tasks in another cell than their home, " << total.broken_rules.size() << " rules broken\n";
+            << " tasks in another cell than their home, " << total.repeated_commands << " commands and "
+            << total.repeated_requests << " other requests carried out twice, " << total.broken_rules.size()
+            << " rules broken\n";
   if (options.soak)
     std::cout << "soak seed " << options.seed << ": longest without an answer after the last fault "
               << total.longest_unanswered << " s, at any time beside answers "
--- a/tests/random_fault_search.cpp
+++ b/tests/random_fault_search.cpp
@@ -77,7 +77,9 @@
                 << v.batched << " on sheets, " << v.deferred << " put off\n"
                 << v.late_writes << " written late, " << v.lost_replies << " answers lost, "
                 << v.late_heartbeats << " late reports, " << v.late_commands << " late commands, "
-                << v.again_after_done << " started again after they were done, " << v.held_heartbeats
+                << v.repeated_commands << " commands and " << v.repeated_requests
+                << " other requests arrived again, " << v.again_after_done
+                << " started again after they were done, " << v.held_heartbeats
                 << " kept for the next leader, " << v.undelivered << " unheard, " << v.cancelled_together
                 << " called off together, " << v.cancelled_at_end << " cancelled at the end, "
                 << v.malformed_requests << " odd requests, " << v.burst_queries
--- a/tests/soak_faults.cpp
+++ b/tests/soak_faults.cpp
@@ -12,6 +12,10 @@
 }  // namespace
 
 void SoakFaults::schedule() {
+  constexpr double kRepeatedShare = 0.2, kLongestCopyDelayS = 10;
+  cluster_.schedule_at(kFirstFaultS, [this] {
+    cluster_.repeat_requests(kRepeatedShare, end_s_ - kFirstFaultS - kLongestCopyDelayS, kLongestCopyDelayS);
+  });
   double at = kFirstFaultS;
   while (at + kMinDurationS < end_s_) {
     const double duration_s = std::min(between(kMinDurationS, kMaxDurationS), end_s_ - at);
--- a/tests/worker_manager_test.cpp
+++ b/tests/worker_manager_test.cpp
@@ -448,6 +448,42 @@
   std::uint64_t sequence_ = 0;
 };
 
+TEST_F(ForgetCommandTest, AnAnsweredDirectStartKeepsItsAttemptFromBeingForgotten) {
+  const ListedTask task = started(0);
+  answer(direct_call().value(), {task});
+  EXPECT_FALSE(commanded("reap", {failed(task)}));
+  EXPECT_FALSE(commanded("reap", {failed(task)}));
+  EXPECT_FALSE(direct_call());
+  EXPECT_EQ(workers_.retained_attempts().total, 1U);
+}
+
+TEST_F(ForgetCommandTest, AnAnswerThatCannotBeReadDoesNotProveThatNothingStarted) {
+  started(0);
+  const ports::Call call = direct_call().value();
+  ports::Reply unreadable;
+  unreadable.status = 200;
+  out_.complete(call.id, unreadable);
+  EXPECT_FALSE(machine_.allocations[0].certainly_not_started(out_.now()));
+}
+
+TEST_F(ForgetCommandTest, AnUndeliveredStartDoesNotKeepItsAttempt) {
+  const ListedTask task = started(0);
+  ports::Reply undelivered;
+  undelivered.delivered = false;
+  out_.complete(direct_call().value().id, undelivered);
+  EXPECT_TRUE(commanded("start", {}));
+  EXPECT_TRUE(commanded("reap", {failed(task)}));
+}
+
+TEST_F(ForgetCommandTest, ARefusedStartDoesNotKeepItsAttempt) {
+  const ListedTask task = started(0);
+  ports::Reply refused;
+  refused.status = 409;
+  out_.complete(direct_call().value().id, refused);
+  EXPECT_TRUE(commanded("start", {}));
+  EXPECT_TRUE(commanded("reap", {failed(task)}));
+}
+
 TEST_F(ForgetCommandTest, AGangIsNotStartedAgainWhereItsAttemptIsRemembered) {
   job_.spec.shape = wire::Shape::gang;
   const ListedTask first = started(job_.pending_tasks.back());
@@ -461,5 +497,30 @@
   EXPECT_FALSE(workers_.ignores_next_start(machine_, job_)) << "the whole gang starts with a new attempt";
 }
 
+TEST_F(ForgetCommandTest, AnAttemptOfAnEarlierTokenIsForgottenAndOneOfTheOwnTokenIsNot) {
+  const std::uint64_t earlier = (kEarlierToken << delegation::kFencingTokenShift) + 1;
+  const std::uint64_t own = (kToken << delegation::kFencingTokenShift) + 100;
+  EXPECT_TRUE(commanded("reap", {failed({.ref = "req-1", .attempt = earlier})}));
+  EXPECT_FALSE(commanded("reap", {failed({.ref = "req-1", .attempt = own})}));
+  EXPECT_EQ(workers_.unexpected_attempts(), 2U) << "no command of this leader had started them";
+}
+
+TEST_F(ForgetCommandTest, BeyondTheLimitOfRetainedAttemptsStartsAreSentInRepliesOnly) {
+  constexpr std::uint32_t kLimit = 64;
+  std::vector<ListedTask> tasks;
+  for (std::uint32_t task = 0; task < kLimit; ++task)
+    tasks.push_back(started(task));
+  answer(direct_call().value(), tasks);
+  for (ListedTask& task : tasks)
+    task = failed(task);
+  commanded("reap", tasks);
+  const ListedTask next = started(kLimit);
+  EXPECT_FALSE(direct_call());
+  EXPECT_TRUE(commanded("start", tasks));
+  tasks.push_back(failed(next));
+  EXPECT_TRUE(commanded("reap", tasks));
+  EXPECT_EQ(workers_.retained_attempts().most_on_a_machine, kLimit);
+}
+
 }  // namespace
 }  // namespace wingtrail::workers
