--- a/tests/overload_test.cpp
+++ b/tests/overload_test.cpp
@@ -247,14 +247,18 @@
 // A job that depends on a cancelled one is submitted, and right after it the state service fails, so that no
 // leader can record that it is orphaned. No controller may answer after the outage that it is queued (seed
 // 100005 of the random fault search).
-TEST(Overload, AnOrphanedJobIsNotReportedQueuedAfterALongOutage) {
-  for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+void orphan_a_job_before_a_long_outage(std::uint64_t first_seed, std::uint64_t last_seed,
+                                       double repeated_share) {
+  for (std::uint64_t seed = first_seed; seed <= last_seed; ++seed) {
+    SCOPED_TRACE(seed);
     configure_logging();
     SimulationPlan plan = scripted(seed, 6);
     plan.dependencies = true;
     SimulatedCluster cluster(plan);
     cluster.begin();
     cluster.step(5);
+    if (repeated_share > 0)
+      cluster.repeat_requests(repeated_share, 15);
     wire::JobSpec first = job_of(1, 2, "red");
     first.estimate_s = 60;
     cluster.submit_job(first, 60, 12);
@@ -266,6 +270,11 @@
     cluster.submit_job(next, 5);
     cluster.step(21);
     cluster.state_outage(45);
+    if (repeated_share > 0) {
+      constexpr int kPollers = 40;
+      cluster.step(25);
+      cluster.add_pollers(next.ref, kPollers);
+    }
     cluster.step(200);
     EXPECT_GT(cluster.run_report().orphaned, 0U) << "expected the dependent job to be orphaned";
     for (const auto& b : cluster.run_report().broken_rules)
@@ -273,6 +282,14 @@
   }
 }
 
+TEST(Overload, AnOrphanedJobIsNotReportedQueuedAfterALongOutage) {
+  orphan_a_job_before_a_long_outage(1, 5, 0);
+}
+
+TEST(Overload, AnOrphanedJobIsNotReportedQueuedAfterALateCopyOfALeadersFrame) {
+  orphan_a_job_before_a_long_outage(1, 20, 0.9);
+}
+
 // Final states are written while the state service is slow, so the leader gets the answer late. Followers
 // that cannot reach the leader have read and reported the final state by then. If the leader still
 // reported the job as live, users would get an older answer after a newer one (loss day of
