--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -296,7 +296,6 @@
       if (!reply.frame)
         return;
       on_peer_frame(i, *reply.frame);
-      note_final_states_recorded(*reply.frame, sent);
       delegated_renewal_.on_status_reply(i, *reply.frame, sent);
       if (reply.frame->lent_write_share >= 0 &&
           reply.frame->leader_fencing_token >= election_.leader_fencing_token()) {
@@ -320,6 +319,10 @@
   if (!received.leader.empty())
     election_.observe_leader(received.leader, received.leader_fencing_token);
   delegated_renewal_.on_frame(received);
+  // A leader whose version does not report the lag (-1) is assumed to have recorded all if it can write.
+  if (received.answers_heartbeats && received.node == election_.leader() && received.state_service_healthy)
+    final_states_recorded_until_ =
+        std::max(final_states_recorded_until_, out_.now() - std::max(0.0, received.final_state_lag_s));
 }
 
 void Controller::on_frame(Seconds now, std::uint64_t id, const peer::Frame& received) {
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -274,7 +274,6 @@
   void look_up_unknown_dependencies();
   void look_up_dependency(const std::string& ref);
   void update_final_states_recorded_until();
-  void note_final_states_recorded(const peer::Frame& reply, Seconds sent);
   void on_job_final(jobs::Job& job);
   void complete_if_done(jobs::Job& job);
 
--- a/src/controller/final_states.cpp
+++ b/src/controller/final_states.cpp
@@ -37,14 +37,4 @@
   final_states_recorded_until_ = recorded_until;
 }
 
-// Takes over how far the leader has recorded final states, from its reply to a request sent at `sent`. Any
-// other frame may be a late copy, which says nothing of the present.
-void Controller::note_final_states_recorded(const peer::Frame& reply, Seconds sent) {
-  if (!reply.answers_heartbeats || reply.node != election_.leader() || !reply.state_service_healthy)
-    return;
-  // A leader whose version does not report the lag (-1) is assumed to have recorded all if it can write.
-  final_states_recorded_until_ =
-      std::max(final_states_recorded_until_, sent - std::max(0.0, reply.final_state_lag_s));
-}
-
 }  // namespace wingtrail::controller
--- a/src/simulation/combined_faults.cpp
+++ b/src/simulation/combined_faults.cpp
@@ -222,7 +222,8 @@
         report_violation("accepted_odd", ref + " got " + std::to_string(a.status));
     });
   });
-  add_event_after(random_between(0.01, 3), [this, ref = spec.ref, k = random_index(plan_.nodes)] {
+  const std::size_t k = random_index(plan_.nodes);
+  add_event_after(random_between(0.01, 3), [this, ref = spec.ref, k] {
     controller::IncomingRequest query;
     query.method = "GET";
     query.path = std::string(wire::kJobsPath) + "/" + ref;
--- a/src/simulation/users.cpp
+++ b/src/simulation/users.cpp
@@ -146,7 +146,9 @@
   // A query of a job that was never submitted.
   if (random_bool(0.2)) {
     const std::string name = "req-9" + std::to_string(random_index(100000));
-    send("users", node_name(random_index(plan_.nodes)), [this, name, node = random_index(plan_.nodes)] {
+    const std::size_t node = random_index(plan_.nodes);
+    const std::size_t linked_node = random_index(plan_.nodes);
+    send("users", node_name(linked_node), [this, name, node] {
       controller::IncomingRequest request;
       request.method = "GET";
       request.path = std::string(wire::kJobsPath) + "/" + name;
