Controllers: a leader's frame counts from when it was sent, not from when it arrives

Cause: an old message taken for the present. While a leader is out of reach, a follower answers for it as long as the leader had recorded, shortly before, all that follows from cancellations. It counted the lag in a frame from the frame's arrival, so a copy that came half a minute late hid half a minute of unrecorded final states.

Change: LeaderClock bounds from below when a frame was sent. A reply was sent after its request, and all frames of one leadership come from one process, whose age each of them states; so one reply dates all others. A leadership that has never replied is not believed; until its first reply queries of jobs with dependencies are deferred. Frames are unchanged, so versions mix as before.

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -122,8 +122,8 @@
       responder_(out_, [this] { return make_frame(); }),
       peer_calls_(out_, election_, peers_, responder_,
                   {[this] { return make_frame(); },
-                   [this](std::size_t peer, const peer::Frame& received) {
-                     on_peer_frame(peer, received);
+                   [this](std::size_t peer, const peer::Frame& reply, Seconds request_sent) {
+                     on_peer_frame(peer, reply, request_sent);
                    }}),
       queries_(
           {out_, store_, settings_, final_states_, registry_, dependencies_, remote_placements_, lookup_,
@@ -295,7 +295,7 @@
     out_.call(std::move(call), [this, i, sent = out_.now()](const ports::Reply& reply) {
       if (!reply.frame)
         return;
-      on_peer_frame(i, *reply.frame);
+      on_peer_frame(i, *reply.frame, sent);
       delegated_renewal_.on_status_reply(i, *reply.frame, sent);
       if (reply.frame->lent_write_share >= 0 &&
           reply.frame->leader_fencing_token >= election_.leader_fencing_token()) {
@@ -311,7 +311,8 @@
              [this] { send_status_to_peers(); });
 }
 
-void Controller::on_peer_frame(std::size_t peer, const peer::Frame& received) {
+void Controller::on_peer_frame(std::size_t peer, const peer::Frame& received,
+                               std::optional<Seconds> request_sent) {
   peers_.on_frame(peer, received);
   if (!received.deferred_attempts.empty())
     creation_queue_.first_attempts().merge(received.deferred_attempts, out_.time_of_day());
@@ -319,10 +320,7 @@
   if (!received.leader.empty())
     election_.observe_leader(received.leader, received.leader_fencing_token);
   delegated_renewal_.on_frame(received);
-  // A leader whose version does not report the lag (-1) is assumed to have recorded all if it can write.
-  if (received.answers_heartbeats && received.node == election_.leader() && received.state_service_healthy)
-    final_states_recorded_until_ =
-        std::max(final_states_recorded_until_, out_.now() - std::max(0.0, received.final_state_lag_s));
+  follow_recorded_final_states(received, request_sent);
 }
 
 void Controller::on_frame(Seconds now, std::uint64_t id, const peer::Frame& received) {
@@ -333,7 +331,7 @@
   for (std::size_t i = 0; i < settings_.peers.size(); ++i) {
     if (settings_.peers[i].name != received.node)
       continue;
-    on_peer_frame(i, received);
+    on_peer_frame(i, received, std::nullopt);
     const DelegatedRenewal::Permission permission = delegated_renewal_.permission_for(received);
     const bool lends =
         election_.may_act() && received.supports_batches && settings_.tunables.fair_admission > 0;
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -26,6 +26,7 @@
 #include "controller/job_lookup.hpp"
 #include "controller/job_queries.hpp"
 #include "controller/job_submission.hpp"
+#include "controller/leader_clock.hpp"
 #include "controller/machine_catalog.hpp"
 #include "controller/overload_monitor.hpp"
 #include "controller/peer_calls.hpp"
@@ -250,7 +251,8 @@
   void on_final_state(const std::string& ref, const wire::FinalState& state);
 
   void send_status_to_peers();
-  void on_peer_frame(std::size_t peer, const peer::Frame& frame);
+  // Handles a peer's request, or its reply to a request that was sent at `request_sent`.
+  void on_peer_frame(std::size_t peer, const peer::Frame& frame, std::optional<Seconds> request_sent);
   peer::Frame make_frame() const;
   void probe_state_service();
   void run_periodic_tasks();
@@ -274,6 +276,7 @@
   void look_up_unknown_dependencies();
   void look_up_dependency(const std::string& ref);
   void update_final_states_recorded_until();
+  void follow_recorded_final_states(const peer::Frame& received, std::optional<Seconds> request_sent);
   void on_job_final(jobs::Job& job);
   void complete_if_done(jobs::Job& job);
 
@@ -367,6 +370,7 @@
   // If a job was cancelled before this time, the final states of the jobs that depend on it are recorded too,
   // as far as this controller knows.
   Seconds final_states_recorded_until_ = -1e9;
+  LeaderClock leader_clock_;
   Seconds loaded_at_ = 0;
   std::deque<std::pair<Seconds, std::string>> unknown_dependencies_;  // since when, oldest first
   std::uint64_t jobs_revision_ = 0;  // of the state service, from which the jobs are watched
--- a/src/controller/final_states.cpp
+++ b/src/controller/final_states.cpp
@@ -37,4 +37,20 @@
   final_states_recorded_until_ = recorded_until;
 }
 
+// Takes over up to when the leader has recorded final states, from its frame, which may be a late copy.
+void Controller::follow_recorded_final_states(const peer::Frame& received,
+                                              std::optional<Seconds> request_sent) {
+  if (!received.answers_heartbeats || !received.state_service_healthy || received.node != received.leader ||
+      received.node != election_.leader())
+    return;
+  if (request_sent)
+    leader_clock_.on_reply(received, *request_sent, out_.now());
+  const auto sent = leader_clock_.earliest_sent(received, out_.now());
+  if (!sent)
+    return;
+  // A leader whose version does not report the lag (-1) is assumed to have recorded all if it can write.
+  final_states_recorded_until_ =
+      std::max(final_states_recorded_until_, *sent - std::max(0.0, received.final_state_lag_s));
+}
+
 }  // namespace wingtrail::controller
--- a/src/controller/peer_calls.cpp
+++ b/src/controller/peer_calls.cpp
@@ -41,7 +41,7 @@
     peers_.on_no_reply(peer, sent);
     return then({PeerOutcome::no_reply});
   }
-  events_.on_frame(peer, *reply.frame);
+  events_.on_reply(peer, *reply.frame, sent);
   const int status = reply.frame->status;
   if (status == 503)
     return then({PeerOutcome::unavailable});
--- a/src/controller/peer_calls.hpp
+++ b/src/controller/peer_calls.hpp
@@ -40,7 +40,8 @@
  public:
   struct Events {
     std::function<peer::Frame()> make_frame;  ///< returns a frame with this controller's status
-    std::function<void(std::size_t peer, const peer::Frame&)> on_frame;  ///< called with each reply of a peer
+    /// Called with each reply of a peer.
+    std::function<void(std::size_t peer, const peer::Frame& reply, Seconds request_sent)> on_reply;
   };
   PeerCalls(ports::Outbox& out, const leadership::LeaderElection& election, PeerDirectory& peers,
             Responder& responder, Events events);
--- a/src/controller/remote_jobs.cpp
+++ b/src/controller/remote_jobs.cpp
@@ -85,10 +85,10 @@
   call.frame = make_cell_frame(frame.cell, frame.cell_message);
   call.frame->relayed = true;
   call.timeout_s = kRelayTimeout;
-  out_.call(std::move(call), [this, id, leader](const ports::Reply& reply) {
+  out_.call(std::move(call), [this, id, leader, sent = out_.now()](const ports::Reply& reply) {
     if (!reply.frame || reply.frame->status != 200)
       return answer_cell(id, 503, {});
-    on_peer_frame(*leader, *reply.frame);
+    on_peer_frame(*leader, *reply.frame, sent);
     const auto message = peer::decode_cell_message(reply.frame->cell_message);
     message ? answer_cell(id, 200, *message) : answer_cell(id, 503, {});
   });
