Controllers: a fencing token that no leader held no longer ends leaderships

A wrong revision in the answer to the winning write became a token of 2^64 - 2; workers kept it, and each later leader stepped down at their first report, "a worker knows a newer leader".

Cause: a message is believed against what its source could know. A token is a version of the leader key, so it is the key that tells who leads, not a worker that repeats a number.

Change: - A worker's higher token ends a leadership at once only if its lease is over, as ever. While the lease lasts no other controller can lead; the leader reads its key and steps down if it is not there at its own token. If it is, no leader gave the worker a higher token before that read, since versions only rise. At most one read a second. - A worker that repeats such a token in three messages accepts no leader's commands, and its machine is returned. - A leader resigns if the records it reads are of a revision below its token. - A controller that a peer told of such a token drops it at its next read of the key, which it makes every second anyway. Told: a warning with host and tokens, and wingtrail_unknown_tokens_total.

--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -49,6 +49,7 @@
   capacity_.clear();
   draining_machines_.clear();
   faulty_machines_.clear();
+  refusing_machines_.clear();
   never_started_machines_.clear();
   excess_since_ = 0;
   smooth_flexible_ = smooth_ordinary_ = -1;
@@ -96,6 +97,7 @@
     returns_.schedule(lost, "silent");
   }
   returns_.schedule(std::exchange(faulty_machines_, {}), "faulty");
+  returns_.schedule(std::exchange(refusing_machines_, {}), "refuses commands");
   returns_.schedule(std::exchange(never_started_machines_, {}), "never came up");
 }
 
@@ -136,6 +138,7 @@
 void Autoscaler::update_capacity() {
   draining_machines_.clear();
   faulty_machines_.clear();
+  refusing_machines_.clear();
   never_started_machines_.clear();
   capacity_.begin_update(registry_.zones.size());
   std::vector<double> retained_shares;  // by zone
@@ -160,10 +163,12 @@
   }
 }
 
-// Adds the machine to the lists of draining, faulty and never started machines, if it is one of them.
+// Adds the machine to the lists of machines to be handled.
 void Autoscaler::classify_machine(const Machine& machine) {
   if (machine.being_returned)
     return;
+  if (machine.refuses_commands())
+    refusing_machines_.push_back(machine.index);
   if (machine.draining)
     draining_machines_.push_back(machine.index);
   if (machine.health == workers::Health::unhealthy && machine.has_incarnation && !machine.busy())
--- a/src/autoscaling/autoscaler.hpp
+++ b/src/autoscaling/autoscaler.hpp
@@ -109,7 +109,7 @@
   MachineListing listing_;
   PoolCapacity capacity_;
   // As of the last `update_capacity`.
-  std::vector<MachineIndex> draining_machines_, faulty_machines_, never_started_machines_;
+  std::vector<MachineIndex> draining_machines_, faulty_machines_, refusing_machines_, never_started_machines_;
   // When machines were last requested for a job that only some machine types or zones may run.
   std::map<JobIndex, Seconds> restricted_job_requested_at_;
   bool active_ = false;
--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -99,8 +99,8 @@
                     registry_.erase_if_over(*job);
                   }
                 },
-                [this] {
-                  election_.on_superseded("a worker knows a newer leader");
+                [this](const std::string& host, std::uint64_t token) {
+                  election_.on_higher_token([this, host, token] { workers_.on_unknown_token(host, token); });
                 }}),
       scheduler_(
           out_, settings_, registry_, workers_, [this] { return election_.fencing_token(); }, seed),
@@ -360,10 +360,15 @@
 }
 
 // Followers send few requests to the state service, so this regular read shows whether it replies to them.
-// The result is reported to peers in status frames.
+// The result is reported to peers in status frames. A leader reads its key if a peer has reported a higher
+// token.
 void Controller::probe_state_service() {
-  if (!election_.holds_leadership())
-    store_.get(leadership::kLeaderKey, store::RequestPriority::lease, [](const store::Reply&) {});
+  const bool knows_higher_token = election_.leader_fencing_token() > election_.fencing_token();
+  if (!election_.holds_leadership() || (election_.may_act() && knows_higher_token)) {
+    store_.get(
+        leadership::kLeaderKey, store::RequestPriority::lease,
+        [this, sent = out_.now()](const store::Reply& reply) { election_.on_leader_key_read(reply, sent); });
+  }
   out_.after(kStatusInterval, [this] { probe_state_service(); });
 }
 
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -144,6 +144,7 @@
   workers::WorkerManager::ForgetCommands forgets;
   workers::WorkerManager::RetainedAttempts retained_attempts;
   std::uint64_t unexpected_attempts = 0;  ///< attempts that began without a current start
+  std::uint64_t unknown_tokens = 0;       ///< reports of workers with a token that no leader has held
   std::uint64_t direct_calls = 0;
   std::uint64_t deadline_checks = 0;
   std::uint64_t liveness_sweeps = 0;
--- a/src/controller/leadership.cpp
+++ b/src/controller/leadership.cpp
@@ -62,6 +62,8 @@
       return;
     auto range = reply.status == 200 ? wire::parse_range(reply.body) : wire::malformed("");
     last_load_reply_at_ = range ? out_.now() : last_load_reply_at_;
+    if (range && !election_.confirm_token(range->revision))
+      return;
     if (!range) {
       return out_.after(kReadRetryDelay, [this, prefix, after, term] {
         if (term == term_)
--- a/src/controller/stats.cpp
+++ b/src/controller/stats.cpp
@@ -60,6 +60,7 @@
   s.forgets = workers_.forgets();
   s.retained_attempts = workers_.retained_attempts();
   s.unexpected_attempts = workers_.unexpected_attempts();
+  s.unknown_tokens = workers_.unknown_tokens();
   s.machines_rented = autoscaler_.machines_rented();
   s.machines_returned = autoscaler_.machines_returned();
   s.commits = state_writer_.commits();
--- a/src/daemon/metrics_exporter.cpp
+++ b/src/daemon/metrics_exporter.cpp
@@ -150,6 +150,8 @@
              static_cast<double>(stats.retained_attempts.most_on_a_machine));
   page.counter("wingtrail_unexpected_attempts_total",
                "attempts that began on a worker without a current start command", stats.unexpected_attempts);
+  page.counter("wingtrail_unknown_tokens_total",
+               "reports of workers with a fencing token that no leader has held", stats.unknown_tokens);
   page.counter("wingtrail_commits_total", "transactions committed as leader", stats.commits);
   page.counter("wingtrail_machines_hired_total", "machines rented", stats.machines_rented);
   page.counter("wingtrail_machines_returned_total", "machines returned", stats.machines_returned);
--- a/src/leadership/leader_election.cpp
+++ b/src/leadership/leader_election.cpp
@@ -14,6 +14,8 @@
 constexpr double kRenewalsPerLease = 4;
 constexpr double kRetriesPerLease = 12;  // after a renewal without reply
 constexpr Seconds kMinRenewalDelay = 0.05;
+constexpr const char* kNode = "node";  // of the leader key's value
+constexpr const char* kNewerLeaderReason = "a worker knows a newer leader";
 }  // namespace
 
 LeaderElection::LeaderElection(ports::Outbox& out, store::StateClient& store,
@@ -30,10 +32,32 @@
 }
 
 void LeaderElection::observe_leader(const std::string& leader, std::uint64_t token) {
-  if (token <= leader_fencing_token_)
-    return;
-  leader_fencing_token_ = token;
+  if (token > leader_fencing_token_ && token != dropped_token_)
+    set_leader(leader, token);
+}
+
+void LeaderElection::set_leader(const std::string& leader, std::uint64_t token) {
   leader_ = leader;
+  leader_fencing_token_ = token;
+  leader_observed_at_ = out_.now();
+}
+
+void LeaderElection::on_leader_key_read(const store::Reply& reply, Seconds sent) {
+  const auto item = reply.status == 200 ? wire::parse_item(reply.body) : wire::malformed("");
+  if (!item)
+    return;
+  const auto holder = wire::text(item->value, kNode).value_or("");
+  if (item->version == dropped_token_) {
+    dropped_token_ = 0;
+    return observe_leader(holder, item->version);
+  }
+  // Versions of the key only rise.
+  if (item->version >= leader_fencing_token_ || sent <= leader_observed_at_)
+    return;
+  spdlog::warn("election: token that no leader held dropped token={} leader={} leader_token={}",
+               leader_fencing_token_, holder, item->version);
+  dropped_token_ = leader_fencing_token_;
+  set_leader(holder, item->version);
 }
 
 void LeaderElection::read_leader_key() {
@@ -87,13 +111,12 @@
 }
 
 void LeaderElection::on_occupied(const wire::Item& item) {
-  const auto holder = wire::text(item.value, "node").value_or("");
+  const auto holder = wire::text(item.value, kNode).value_or("");
   const auto lease = wire::count(item.value, "lease").value_or(0);
   if (item.version > leader_fencing_token_ || (item.version == leader_fencing_token_ && leader_.empty())) {
     if (leader_ != holder)
       spdlog::info("election: leader changed leader={} token={}", holder, item.version);
-    leader_ = holder;
-    leader_fencing_token_ = item.version;
+    set_leader(holder, item.version);
   }
   if (holds_leadership_ && item.version != fencing_token_)
     step_down("another controller leads");
@@ -127,7 +150,7 @@
         }
         lease_ = *lease;
         wire::Transaction txn;
-        txn.require(kLeaderKey, 0).put(kLeaderKey, {{"node", settings_.node}, {"lease", *lease}}, *lease);
+        txn.require(kLeaderKey, 0).put(kLeaderKey, {{kNode, settings_.node}, {"lease", *lease}}, *lease);
         store_.transact(std::move(txn), store::RequestPriority::lease, lease_expiry(sent),
                         [this, sent, lease](const store::Reply& reply) {
                           campaigning_ = false;
@@ -151,6 +174,7 @@
   lease_ = lease;
   fencing_token_ = token;
   lease_expires_at_ = lease_expiry(lease_sent);
+  confirmed_at_ = -kConfirmationLifetime;
   renewed_at_ = lease_sent;
   observe_leader(settings_.node, token);
   leader_ = settings_.node;
@@ -208,6 +232,43 @@
   store_.revoke_lease(lease);
 }
 
+bool LeaderElection::confirm_token(std::uint64_t revision) {
+  if (revision >= fencing_token_)
+    return true;
+  resign(0, "the fencing token is above the state service's revision");
+  return false;
+}
+
+void LeaderElection::on_higher_token(std::function<void()> on_unknown_token) {
+  if (!may_act())
+    return step_down(kNewerLeaderReason);
+  if (out_.now() < confirmed_at_ + kConfirmationLifetime)
+    return on_unknown_token();
+  if (confirming_)
+    return;
+  confirming_ = true;
+  store_.get(kLeaderKey, store::RequestPriority::lease,
+             [this, sent = out_.now(), term = term_,
+              on_unknown_token = std::move(on_unknown_token)](const store::Reply& reply) {
+               confirming_ = false;
+               if (term == term_)
+                 on_confirmation_reply(reply, sent, on_unknown_token);
+             });
+}
+
+void LeaderElection::on_confirmation_reply(const store::Reply& reply, Seconds sent,
+                                           const std::function<void()>& on_unknown_token) {
+  if (reply.status == 404)
+    return step_down(kNewerLeaderReason);
+  const auto item = reply.status == 200 ? wire::parse_item(reply.body) : wire::malformed("");
+  if (!item)
+    return;  // the worker's next report asks again
+  if (item->version != fencing_token_)
+    return step_down(kNewerLeaderReason);
+  confirmed_at_ = sent;
+  on_unknown_token();
+}
+
 void LeaderElection::on_superseded(const char* reason) {
   step_down(reason);
 }
--- a/src/leadership/leader_election.hpp
+++ b/src/leadership/leader_election.hpp
@@ -70,25 +70,41 @@
   }
   /// Records a leader that a peer has reported. Ignored unless its token is higher than all known ones.
   void observe_leader(const std::string& leader, std::uint64_t token);
+  /// Handles the reply to a read of the leader key. A higher token that was known before the read was sent is
+  /// dropped, because no leader has held it.
+  void on_leader_key_read(const store::Reply& reply, Seconds sent);
   /// Gives up leadership, revokes the lease and does not campaign for `pause` seconds. Does nothing if this
   /// controller does not lead.
   /// @param reason for the log
   void resign(Seconds pause, const char* reason);
-  /// Steps down because another controller was elected: a write conditioned on the leader key failed, or a
-  /// worker has reported a higher token.
+  /// Resigns and returns false if the state service's revision, as read in this leadership, is below the
+  /// fencing token: the token is a revision that the service had reached at the election, so it was reported
+  /// wrongly.
+  bool confirm_token(std::uint64_t revision);
+  /// Handles a higher token than this leader's that a worker has reported. While the leader lease lasts, no
+  /// other controller can lead, so the leader key is read: calls `on_unknown_token` if this leader still
+  /// holds it, as no later leader can have given the worker the token then, and steps down if it does not.
+  void on_higher_token(std::function<void()> on_unknown_token);
+  /// Steps down because another controller was elected: a write conditioned on the leader key failed.
   /// @param reason for the log
   void on_superseded(const char* reason);
 
  private:
+  // For this long a confirmation serves further reports of higher tokens, which limits the reads.
+  static constexpr Seconds kConfirmationLifetime = 1;
+
   void read_leader_key();
   void watch_leader_key(std::uint64_t after);
   void on_vacant(std::uint64_t revision);
   void on_occupied(const wire::Item& item);
+  void set_leader(const std::string& leader, std::uint64_t token);
   void campaign();
   void on_won(std::uint64_t lease, std::uint64_t token, Seconds lease_sent);
   void schedule_renewal(Seconds delay);
   void renew_lease();
   void step_down(const char* reason);
+  void on_confirmation_reply(const store::Reply& reply, Seconds sent,
+                             const std::function<void()>& on_unknown_token);
   Seconds lease_expiry(Seconds sent) const;
 
   ports::Outbox& out_;
@@ -106,10 +122,15 @@
   Seconds lease_expires_at_ = -1;
   Seconds renewed_at_ = -1;
   Seconds campaign_after_ = 0;
+  bool confirming_ = false;  // the leader key is being read because a worker has reported a higher token
+  Seconds confirmed_at_ =
+      -kConfirmationLifetime;  // when the last such read was sent that found this leader's key
 
   // The latest leader known, which may be this controller.
   std::string leader_;
   std::uint64_t leader_fencing_token_ = 0;
+  Seconds leader_observed_at_ = 0;   // when that token was first reported
+  std::uint64_t dropped_token_ = 0;  // peers may still report it
 };
 
 }  // namespace wingtrail::leadership
--- a/src/simulation/history.cpp
+++ b/src/simulation/history.cpp
@@ -103,6 +103,14 @@
   return n;
 }
 
+std::size_t SimulatedCluster::workers_with_token(std::uint64_t token) const {
+  return static_cast<std::size_t>(
+      std::count_if(machines_.begin(), machines_.end(), [token](const auto& entry) {
+        const WorkerMachine& machine = *entry.second;
+        return !machine.gone && !machine.dead && machine.up && machine.fencing_token >= token;
+      }));
+}
+
 std::size_t SimulatedCluster::tasks_on_slow_machines(double factor) const {
   std::size_t n = 0;
   for (const auto& [name, machine] : machines_) {
--- a/src/simulation/random_faults.cpp
+++ b/src/simulation/random_faults.cpp
@@ -37,6 +37,17 @@
   }
 }
 
+void SimulatedCluster::raise_worker_tokens(std::size_t n, std::uint64_t token) {
+  for (auto& [name, machine] : machines_) {
+    if (n == 0)
+      return;
+    if (machine->gone || machine->dead || !machine->up)
+      continue;
+    machine->fencing_token = std::max(machine->fencing_token, token);
+    --n;
+  }
+}
+
 void SimulatedCluster::kill_in_zone(std::size_t zone, std::size_t n) {
   for (auto& [name, machine] : machines_) {
     if (n == 0)
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -320,6 +320,10 @@
   /// Multiplies the run time of tasks on up to `n` machines that are up by `factor`.
   void slow_machines(std::size_t n, double factor);
   void kill_machines(std::size_t n);
+  /// Makes up to `n` workers that are up accept commands with this fencing token or a higher one only.
+  void raise_worker_tokens(std::size_t n, std::uint64_t token);
+  /// Number of workers that are up and accept no commands with a lower fencing token than this.
+  std::size_t workers_with_token(std::uint64_t token) const;
   /// Number of running tasks on machines that are slower by at least `factor`.
   std::size_t tasks_on_slow_machines(double factor) const;
   void schedule_after(double delay, std::function<void()> fn) {
--- a/src/workers/commands.cpp
+++ b/src/workers/commands.cpp
@@ -358,8 +358,10 @@
     return true;
   }
   if (heartbeat->fencing_token > leadership_.fencing_token()) {
-    events_.on_superseded();
-    return false;
+    machine.unreachable = true;
+    machine.delivery.retry_at = out_.now() + kResendInterval;
+    events_.on_higher_token(machine.host, heartbeat->fencing_token);
+    return active_;
   }
   const std::uint64_t term = term_;
   if (is_newer(machine, *heartbeat))
--- a/src/workers/heartbeats.cpp
+++ b/src/workers/heartbeats.cpp
@@ -21,7 +21,7 @@
   if (!active_)
     return std::nullopt;
   if (heartbeat.fencing_token > leadership_.fencing_token()) {
-    events_.on_superseded();
+    events_.on_higher_token(heartbeat.host, heartbeat.fencing_token);
     return std::nullopt;
   }
   Machine& machine =
@@ -67,6 +67,16 @@
                                build_commands(machine, Delivery::heartbeat_reply));
 }
 
+void WorkerManager::on_unknown_token(const std::string& host, std::uint64_t token) {
+  Machine* machine = find(host);
+  if (!active_ || !machine || machine->gone)
+    return;
+  ++unknown_tokens_;
+  ++machine->unknown_token_reports;
+  spdlog::warn("workers: token that no leader held host={} token={} leader_token={} reports={}", host, token,
+               leadership_.fencing_token(), machine->unknown_token_reports);
+}
+
 // Whether the heartbeat is newer than the newest one received from the machine, by incarnation and sequence
 // number. A heartbeat of an incarnation that is over (its lease has expired, or a newer incarnation is
 // known) proves nothing and is never newer.
@@ -115,6 +125,7 @@
   machine.incarnation = heartbeat.incarnation;
   machine.sequence = heartbeat.sequence;
   machine.last_contact_at = out_.now();
+  machine.unknown_token_reports = 0;
   machine.delivery.failed_calls = 0;
   machine.delivery.unanswered_since = ports::kNever;
   if (zones_.on_contact(machine.zone, out_.now()))
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -95,6 +95,7 @@
 
   // ---- liveness
   bool unreachable = false;               ///< It did not answer the last direct call.
+  int unknown_token_reports = 0;          ///< Successive messages with a token that no leader has held.
   bool heartbeat_expected = false;        ///< Counted among the machines of its zone that send heartbeats.
   Seconds next_check_at = ports::kNever;  ///< Time of the next check in the CheckSchedule.
   CommandDelivery delivery;
@@ -117,6 +118,11 @@
   IndexPosition index_position;
   UnreconciledAccount unreconciled;
 
+  /// Whether its worker follows a token that no leader has held, so that it accepts no commands.
+  bool refuses_commands() const {
+    constexpr int kReportsThatProve = 3;  // a single one may be a corrupted message
+    return unknown_token_reports >= kReportsThatProve;
+  }
   /// Whether any allocation occupies the machine.
   bool busy() const {
     return std::any_of(allocations.begin(), allocations.end(),
--- a/src/workers/worker_manager.hpp
+++ b/src/workers/worker_manager.hpp
@@ -56,7 +56,8 @@
     /// A task has ended; the allocation's `cause` is its exit cause. The allocation is valid only
     /// during the call.
     std::function<void(Machine&, const Allocation&)> on_task_exited;
-    std::function<void()> on_superseded;  ///< A worker has seen a higher fencing token.
+    /// The worker of that machine has reported a higher fencing token than this leader's.
+    std::function<void(const std::string& host, std::uint64_t token)> on_higher_token;
   };
   /// What the manager needs to know of the current leadership.
   struct LeadershipView {
@@ -174,6 +175,13 @@
   Seconds zone_leases_expire_at(ZoneIndex zone) const {
     return leadership_.worker_lease_expiry(worker_lease_expiry(zones_.last_contact_at(zone)));
   }
+  /// Records that a worker has reported a higher fencing token, which no later leader can have given it: the
+  /// report was wrong, or the worker accepts no leader's commands any more.
+  void on_unknown_token(const std::string& host, std::uint64_t token);
+  /// The number of such reports.
+  std::uint64_t unknown_tokens() const {
+    return unknown_tokens_;
+  }
   /// Whether the machine does not respond although there is contact with other machines of its zone, so that
   /// the machine itself has failed and not the network to the zone.
   bool is_isolated_failure(const Machine& machine) const {
@@ -383,6 +391,7 @@
   std::uint64_t commands_sent_ = 0;
   ForgetCommands forgets_;
   std::uint64_t unexpected_attempts_ = 0;
+  std::uint64_t unknown_tokens_ = 0;
   std::uint64_t direct_calls_ = 0;
   std::uint64_t deadline_checks_ = 0;
   std::uint64_t liveness_sweeps_ = 0;
--- a/tests/untrusted_input_test.cpp
+++ b/tests/untrusted_input_test.cpp
@@ -148,6 +148,33 @@
   expect_no_broken_rules(cluster);
 }
 
+void expect_workers_with_an_unknown_token_to_be_returned(std::size_t workers) {
+  SCOPED_TRACE(workers);
+  constexpr std::uint64_t kUnknownToken = std::uint64_t{1} << 40;
+  configure_logging();
+  SimulatedCluster cluster(scripted(5, 8));
+  cluster.begin();
+  cluster.step(20);
+  cluster.submit_job(job_of(1, 12, "red"), 30);
+  cluster.step(30);
+  const auto leader = cluster.leader();
+  const std::size_t elections = cluster.run_report().elections;
+  cluster.raise_worker_tokens(workers, kUnknownToken);
+  ASSERT_GT(cluster.workers_with_token(kUnknownToken), 0U);
+  cluster.step(45);
+  EXPECT_EQ(cluster.workers_with_token(kUnknownToken), 0U) << "they accept no commands";
+  cluster.step(150);
+  EXPECT_EQ(cluster.leader(), leader);
+  EXPECT_EQ(cluster.run_report().elections, elections) << "no other controller can lead";
+  EXPECT_TRUE(cluster.is_done("req-1"));
+  expect_no_broken_rules(cluster);
+}
+
+TEST(UntrustedInput, WorkersWithATokenThatNoLeaderHeldAreReturnedAndTheLeaderStays) {
+  expect_workers_with_an_unknown_token_to_be_returned(2);
+  expect_workers_with_an_unknown_token_to_be_returned(100);
+}
+
 // Whatever a message says, it must end no controller. Further seeds: random_fault_search FIRST COUNT off
 // corrupted
 TEST(UntrustedInput, MutatedMessagesEndNoController) {
--- a/tests/worker_manager_test.cpp
+++ b/tests/worker_manager_test.cpp
@@ -39,7 +39,8 @@
                   }},
                  {[](Machine&) {}, [](Machine&) {}, [](Machine&) {},
                   [this](Machine&, const Allocation& allocation) { exits_.push_back(allocation.cause); },
-                  [] {
+                  [this](const std::string& host, std::uint64_t token) {
+                    higher_tokens_.emplace_back(host, token);
                   }}) {
     state_writer_.set_events({[](jobs::Job&) {},
                               [this](const std::vector<jobs::StateWriter::CompletedTask>& ended) {
@@ -152,6 +153,7 @@
   jobs::StateWriter state_writer_;
   WorkerManager workers_;
   std::vector<wire::ExitCause> exits_;
+  std::vector<std::pair<std::string, std::uint64_t>> higher_tokens_;
 };
 
 // Guards against a second start of a task that runs on machine B. The task migrated from machine A to machine
@@ -393,6 +395,22 @@
   EXPECT_EQ(machine_a.incarnation, 4U);
 }
 
+TEST_F(WorkerManagerTest, AWorkerThatRepeatsAnUnknownTokenRefusesCommandsUntilItReportsAKnownOne) {
+  constexpr std::uint64_t kUnknownToken = kToken + 1;
+  Machine& machine = machine_from_inventory("i-1");
+  heartbeat_with_token("i-1", 1, {});
+  for (std::uint64_t sequence = 2; sequence <= 4; ++sequence) {
+    EXPECT_FALSE(machine.refuses_commands());
+    EXPECT_FALSE(workers_.handle_heartbeat(heartbeat_of("i-1", 1, sequence, kUnknownToken, {})));
+    ASSERT_EQ(higher_tokens_.size(), sequence - 1);
+    EXPECT_EQ(higher_tokens_.back(), std::pair(std::string("i-1"), kUnknownToken));
+    workers_.on_unknown_token("i-1", kUnknownToken);
+  }
+  EXPECT_TRUE(machine.refuses_commands());
+  heartbeat_with_token("i-1", 5, {});
+  EXPECT_FALSE(machine.refuses_commands());
+}
+
 // Starts one task after the other on a machine and shows what the leader commands.
 class ForgetCommandTest : public WorkerManagerTest {
  protected:
