--- a/src/leadership/leader_election.cpp
+++ b/src/leadership/leader_election.cpp
@@ -16,6 +16,10 @@
 constexpr Seconds kMinRenewalDelay = 0.05;
 constexpr const char* kNode = "node";  // of the leader key's value
 constexpr const char* kNewerLeaderReason = "a worker knows a newer leader";
+
+wire::Result<wire::Item> parse_leader_key(const store::Reply& reply) {
+  return reply.status == 200 ? wire::parse_item(reply.body) : wire::malformed("leader key not read");
+}
 }  // namespace
 
 LeaderElection::LeaderElection(ports::Outbox& out, store::StateClient& store,
@@ -43,7 +47,7 @@
 }
 
 void LeaderElection::on_leader_key_read(const store::Reply& reply, Seconds sent) {
-  const auto item = reply.status == 200 ? wire::parse_item(reply.body) : wire::malformed("");
+  const auto item = parse_leader_key(reply);
   if (!item)
     return;
   const auto holder = wire::text(item->value, kNode).value_or("");
@@ -62,11 +66,9 @@
 
 void LeaderElection::read_leader_key() {
   store_.get(kLeaderKey, store::RequestPriority::lease, [this](const store::Reply& reply) {
-    if (reply.status == 200) {
-      if (auto item = wire::parse_item(reply.body)) {
-        on_occupied(*item);
-        return watch_leader_key(item->version);
-      }
+    if (const auto item = parse_leader_key(reply)) {
+      on_occupied(*item);
+      return watch_leader_key(item->version);
     }
     if (reply.status == 404) {
       const auto revision = wire::revision(reply.body).value_or(0);
@@ -260,7 +262,7 @@
                                            const std::function<void()>& on_unknown_token) {
   if (reply.status == 404)
     return step_down(kNewerLeaderReason);
-  const auto item = reply.status == 200 ? wire::parse_item(reply.body) : wire::malformed("");
+  const auto item = parse_leader_key(reply);
   if (!item)
     return;  // the worker's next report asks again
   if (item->version != fencing_token_)
--- a/src/workers/commands.cpp
+++ b/src/workers/commands.cpp
@@ -359,6 +359,7 @@
   }
   if (heartbeat->fencing_token > leadership_.fencing_token()) {
     machine.unreachable = true;
+    mark_changed(machine);
     machine.delivery.retry_at = out_.now() + kResendInterval;
     events_.on_higher_token(machine.host, heartbeat->fencing_token);
     return active_;
--- a/tests/worker_manager_test.cpp
+++ b/tests/worker_manager_test.cpp
@@ -437,7 +437,7 @@
     }
     return std::nullopt;
   }
-  void answer(const ports::Call& call, const std::vector<ListedTask>& tasks) {
+  void answer(const ports::Call& call, const std::vector<ListedTask>& tasks, std::uint64_t token = kToken) {
     wire::Value listed = wire::Value::array();
     for (const ListedTask& task : tasks)
       listed.push_back(
@@ -450,7 +450,7 @@
                                          {"hall", "z0"},
                                          {"tenure", 1},
                                          {"counter", ++sequence_},
-                                         {"mandate", kToken},
+                                         {"mandate", token},
                                          {"shards", std::move(listed)}});
     out_.complete(call.id, reply);
   }
@@ -475,6 +475,19 @@
   EXPECT_EQ(workers_.retained_attempts().total, 1U);
 }
 
+TEST_F(ForgetCommandTest,
+       AWorkerThatAnswersWithAnUnknownTokenCountsAsUnreachableUntilItAnswersWithAKnownOne) {
+  const ListedTask task = started(0);
+  answer(direct_call().value(), {}, kToken + 1);
+  ASSERT_EQ(higher_tokens_.size(), 1U);
+  EXPECT_TRUE(machine_.unreachable);
+  EXPECT_FALSE(machine_.allocations[0].certainly_not_started(out_.now()));
+  heartbeat_with_token("i-1", ++sequence_, {task});
+  advance(2);
+  answer(direct_call().value(), {task});
+  EXPECT_FALSE(machine_.unreachable);
+}
+
 TEST_F(ForgetCommandTest, AnAnswerThatCannotBeReadDoesNotProveThatNothingStarted) {
   started(0);
   const ports::Call call = direct_call().value();
