--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -108,7 +108,7 @@
   EXPECT_EQ(losses_, 1);
 }
 
-// A follower of node-2, which holds the key at kToken.
+// A follower of node-2, which holds the key at kToken + 1.
 class ReportedLeaderTest : public HigherTokenTest {
  protected:
   static constexpr std::uint64_t kUnknownToken = std::uint64_t{1} << 40;
