--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cmath>
 
+#include "daemon/crash_report.hpp"
 #include "daemon/metrics_exporter.hpp"
 
 namespace wingtrail::daemon {
@@ -56,6 +57,23 @@
   return limits;
 }
 
+// The receiver of calls, as reports name it.
+const char* name(ports::Target target) {
+  switch (target) {
+    case ports::Target::state:
+      return "state_service";
+    case ports::Target::cloud:
+      return "cloud";
+    case ports::Target::peer:
+      return "controller";
+    case ports::Target::worker:
+      return "worker";
+    case ports::Target::cell:
+      return "cell";
+  }
+  return "";
+}
+
 }  // namespace
 
 Daemon::Daemon(settings::Settings settings)
@@ -101,8 +119,10 @@
     return;
   running_controller_ = true;
   update_day_offset();
-  if (controller_.next_wake() <= loop_.now())
+  if (controller_.next_wake() <= loop_.now()) {
+    const CurrentActivity activity({.kind = "timers", .fencing_token = fencing_token()});
     controller_.tick(loop_.now());
+  }
   for (auto actions = controller_.drain(); !actions.empty(); actions = controller_.drain()) {
     for (ports::Action& action : actions) {
       if (auto* call = std::get_if<ports::Call>(&action)) {
@@ -159,12 +179,18 @@
                             loop_.now() + call.timeout_s, call.not_after);
   if (scope_.cancelled())
     co_return;
+  const CurrentActivity activity({.kind = "reply",
+                                  .counterpart = name(call.target),
+                                  .method = call.method,
+                                  .path = call.path,
+                                  .body = outcome.body,
+                                  .fencing_token = fencing_token()});
   ports::Reply reply;
   reply.status = outcome.status;
   reply.delivered = outcome.delivered;
   if (outcome.status != 0 && !outcome.body.empty()) {
     if (to_worker) {
-      reply.heartbeat = std::move(outcome.body);
+      reply.heartbeat = outcome.body;
     } else if (to_controller) {
       reply.frame = peer::decode(outcome.body);
     } else if (auto body = wire::decode_cbor(outcome.body, wire::InvalidText::replace)) {
@@ -178,6 +204,10 @@
   controller_.on_reply(loop_.now(), id, reply);
 }
 
+std::uint64_t Daemon::fencing_token() const {
+  return controller_.leader_election().fencing_token();
+}
+
 net::Task<std::optional<ports::Answer>> Daemon::wait_for_answer(std::uint64_t id) {
   net::OneShot<ports::Answer> pending_answer;
   open_requests_.emplace(id, &pending_answer);
@@ -199,7 +229,15 @@
   incoming.method = std::move(request.method);
   incoming.path = request.target.substr(0, request.target.find('?'));
   incoming.body = std::move(request.body);
-  controller_.on_request(loop_.now(), incoming);
+  {
+    const CurrentActivity activity({.kind = "request",
+                                    .counterpart = "client",
+                                    .method = incoming.method,
+                                    .path = incoming.path,
+                                    .body = incoming.body,
+                                    .fencing_token = fencing_token()});
+    controller_.on_request(loop_.now(), incoming);
+  }
   const auto answer = co_await wait_for_answer(incoming.id);
   if (!answer) {
     response.status = 504;
@@ -220,13 +258,21 @@
     response.status = request.target != peer::kPeerPath ? 404 : 405;
     co_return response;
   }
-  auto frame = peer::decode(request.body);
-  if (!frame) {
-    response.status = 400;
-    co_return response;
-  }
   const std::uint64_t id = ++last_request_;
-  controller_.on_frame(loop_.now(), id, *frame);
+  {
+    const CurrentActivity activity({.kind = "frame",
+                                    .counterpart = "controller",
+                                    .method = request.method,
+                                    .path = request.target,
+                                    .body = request.body,
+                                    .fencing_token = fencing_token()});
+    const auto frame = peer::decode(request.body);
+    if (!frame) {
+      response.status = 400;
+      co_return response;
+    }
+    controller_.on_frame(loop_.now(), id, *frame);
+  }
   const auto answer = co_await wait_for_answer(id);
   if (!answer || !answer->frame) {
     response.status = 504;
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -29,6 +29,7 @@
   net::Task<net::Response> serve_client(net::Request request);
   net::Task<net::Response> serve_peer(net::Request request);
   net::DetachedTask execute_call(ports::Call call);
+  std::uint64_t fencing_token() const;
   // Ticks the controller if its next wake-up is due, and executes the calls and answers that it has issued.
   void run_controller();
   // Passes the offset of the wall clock from the loop's clock to the controller, once per second.
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <iostream>
 
+#include "daemon/crash_report.hpp"
 #include "daemon/daemon.hpp"
 
 namespace {
@@ -56,6 +57,7 @@
     std::cout << "wingtrail: the settings of " << loaded.settings.node << " are valid\n";
     return 0;
   }
+  wingtrail::daemon::install_crash_report();
   try {
     wingtrail::daemon::Daemon daemon(loaded.settings);
     if (auto error = daemon.run()) {
@@ -63,6 +65,7 @@
       return 1;
     }
   } catch (const std::exception& e) {
+    wingtrail::daemon::report_exception(e.what());
     std::cerr << "wingtrail: " << e.what() << "\n";
     return 1;
   }
