Wire: a text whose parts open further parts no longer ends the controller that reads it

What callers saw: a submission of 60,000 times 0x5f got no answer, and the controller that read it ended by signal 11.

Cause: the CBOR reader of nlohmann::json calls itself for each part of a string of indefinite length, before it asks a handler. kMaxDepth was enforced in the handlers, which see lists and maps only: a check in one path and not in another, and behind it a stack that grows with what a stranger sends. RFC 8949, 3.2.3, forbids such parts.

Fix: read_cbor is the only entry to that parser. It looks at the strings first with libcbor's cbor_stream_decode, a loop, and counts the depth around any handler. Whatever it lets through is read as before; text in parts is read as one text.

Readers return why they refused; wingtrail_refused_messages_total counts by reader and reason. A follower that reads a malformed report answers 400. The random corruption repeats units up to the limit and wraps values; process_cluster fails if a controller ends by itself.

--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -79,7 +79,13 @@
     double wait_s = 0;         ///< by that digest
   };
 
+  struct RefusedMessages {  ///< by one reader
+    const char* reader;
+    wire::RefusalCounts counts;
+  };
+
   // Requests.
+  std::vector<RefusedMessages> refused_messages;  ///< one for each reader
   std::uint64_t submissions = 0;
   std::uint64_t jobs_accepted = 0;
   std::uint64_t submissions_refused = 0;  ///< refused for good; deferred ones are not counted
@@ -381,6 +387,7 @@
   std::set<std::string> tombstones_in_progress_;    // foreign jobs whose tombstones are being written
   // Capacity for foreign jobs, computed once a second.
   cells::ForeignJobCapacity foreign_job_capacity_;
+  wire::RefusalCounts refused_offers_;       // records in offers that could not be read
   bool foreign_job_capacity_known_ = false;  // whether it was computed in this leadership
   Seconds foreign_job_wait_s_ = 0;           // expected wait of a foreign job, in seconds
   // Jobs that must not start here because they are selected for offloading.
--- a/src/controller/delegated_renewal.cpp
+++ b/src/controller/delegated_renewal.cpp
@@ -125,7 +125,7 @@
          support_.all_support();
 }
 
-std::optional<wire::Value> DelegatedRenewal::answer_heartbeat(const std::string& bytes) {
+wire::Result<std::optional<wire::Value>> DelegatedRenewal::answer_heartbeat(const std::string& bytes) {
   observe_leadership();
   wire::Result<wire::Heartbeat> heartbeat = wire::malformed("");
   // Without the state service only the attempt numbers in heartbeats show whether cancellations were
@@ -133,7 +133,7 @@
   if (settings_.tunables.peer_agreement && !store_.healthy()) {
     heartbeat = wire::parse_heartbeat(bytes);
     if (!heartbeat)
-      return std::nullopt;
+      return tl::make_unexpected(heartbeat.error());
     for (const wire::TaskStatus& task : heartbeat->tasks) {
       strict_cancellation_token_ =
           std::max(strict_cancellation_token_, delegation::strict_cancellation_token(task.attempt));
@@ -150,7 +150,7 @@
   if (!heartbeat)
     heartbeat = wire::parse_heartbeat(bytes);
   if (!heartbeat)
-    return std::nullopt;
+    return tl::make_unexpected(heartbeat.error());
   auto reply = renew(*heartbeat);
   counts_.renewals += reply.has_value();
   return reply;
--- a/src/controller/heartbeat_handler.cpp
+++ b/src/controller/heartbeat_handler.cpp
@@ -21,15 +21,16 @@
 void HeartbeatHandler::handle(const RequestOrigin& origin, const std::string& bytes) {
   ++count_;
   if (!is_active_leader_()) {
-    if (auto reply = collaborators_.delegated_renewal.answer_heartbeat(bytes))
-      return collaborators_.responder.respond(origin, 200, std::move(*reply));
-    return reject(origin);
+    auto reply = collaborators_.delegated_renewal.answer_heartbeat(bytes);
+    if (!reply)
+      return refuse(origin, reply.error(), bytes.size());
+    if (!*reply)
+      return reject(origin);
+    return collaborators_.responder.respond(origin, 200, std::move(**reply));
   }
   const auto heartbeat = wire::parse_heartbeat(bytes);
-  if (!heartbeat) {
-    spdlog::warn("heartbeats: malformed error=\"{}\"", heartbeat.error().text());
-    return collaborators_.responder.respond(origin, 400);
-  }
+  if (!heartbeat)
+    return refuse(origin, heartbeat.error(), bytes.size());
   last_heartbeat_at_ = collaborators_.out.now();
   auto reply = collaborators_.workers.handle_heartbeat(*heartbeat);
   if (!reply)
@@ -37,6 +38,12 @@
   collaborators_.responder.respond(origin, 200, std::move(*reply));
 }
 
+void HeartbeatHandler::refuse(const RequestOrigin& origin, const wire::ParseError& error, std::size_t bytes) {
+  refused_.count(error);
+  spdlog::warn("heartbeats: malformed error=\"{}\" bytes={}", error.text(), bytes);
+  collaborators_.responder.respond(origin, 400);
+}
+
 void HeartbeatHandler::reject(const RequestOrigin& origin) {
   rejected_at_.push_back(collaborators_.out.now());
   while (rejected_at_.size() > kMaxRejections)
--- a/src/controller/heartbeat_handler.hpp
+++ b/src/controller/heartbeat_handler.hpp
@@ -48,8 +48,13 @@
   std::uint64_t count() const {
     return count_;
   }
+  /// Heartbeats that could not be read.
+  const wire::RefusalCounts& refused() const {
+    return refused_;
+  }
 
  private:
+  void refuse(const RequestOrigin& origin, const wire::ParseError& error, std::size_t bytes);
   void reject(const RequestOrigin& origin);
 
   Collaborators collaborators_;
@@ -59,6 +64,7 @@
   Seconds expected_since_ = 0;     // when the current leadership began to expect heartbeats
   Seconds unreachable_since_ = 0;  // 0: not known to be unreachable
   std::uint64_t count_ = 0;
+  wire::RefusalCounts refused_;
 };
 
 }  // namespace wingtrail::controller
--- a/src/controller/job_submission.cpp
+++ b/src/controller/job_submission.cpp
@@ -1,5 +1,7 @@
 #include "controller/job_submission.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -19,10 +21,11 @@
 
 void JobSubmission::submit(const RequestOrigin& origin, const std::string& bytes) {
   ++counts_.submitted;
-  const auto body = wire::decode_cbor(bytes);
-  const auto spec = body ? wire::parse_job(*body) : wire::malformed("not CBOR");
+  const auto spec = wire::decode_cbor(bytes).and_then(wire::parse_job);
   if (!spec) {
     ++counts_.refused;
+    counts_.refused_messages.count(spec.error());
+    spdlog::info("submissions: refused error=\"{}\" bytes={}", spec.error().text(), bytes.size());
     return collaborators_.responder.respond(origin, 400, {{"error", spec.error().text()}});
   }
   if (collaborators_.queries.answer_final(origin, spec->ref, ReplyDetail::state))
--- a/src/controller/job_submission.hpp
+++ b/src/controller/job_submission.hpp
@@ -48,6 +48,7 @@
     std::uint64_t submitted = 0;
     std::uint64_t accepted = 0;
     std::uint64_t refused = 0;  ///< with 400 or 422, so that a retry cannot succeed
+    wire::RefusalCounts refused_messages;
   };
 
   JobSubmission(Collaborators collaborators, Callbacks callbacks);
--- a/src/controller/peer_calls.cpp
+++ b/src/controller/peer_calls.cpp
@@ -47,10 +47,12 @@
     return then({PeerOutcome::unavailable});
   if (status == 429)
     return then({PeerOutcome::throttled});
-  const auto body =
-      reply.frame->body.empty() ? std::optional<wire::Value>(nullptr) : wire::decode_cbor(reply.frame->body);
-  if (!body)
+  const auto body = reply.frame->body.empty() ? wire::Result<wire::Value>(wire::Value())
+                                              : wire::decode_cbor(reply.frame->body);
+  if (!body) {
+    refused_replies_.count(body.error());
     return then({PeerOutcome::no_reply});
+  }
   then({PeerOutcome::answered, status, *body});
 }
 
--- a/src/controller/peer_calls.hpp
+++ b/src/controller/peer_calls.hpp
@@ -62,6 +62,10 @@
   std::uint64_t count() const {
     return count_;
   }
+  /// Bodies in replies that could not be read.
+  const wire::RefusalCounts& refused_replies() const {
+    return refused_replies_;
+  }
 
  private:
   void on_reply(std::size_t peer, Seconds sent, const ports::Reply& reply,
@@ -73,6 +77,7 @@
   Responder& responder_;
   Events events_;
   std::uint64_t count_ = 0;
+  wire::RefusalCounts refused_replies_;
 };
 
 }  // namespace wingtrail::controller
--- a/src/controller/remote_jobs.cpp
+++ b/src/controller/remote_jobs.cpp
@@ -176,7 +176,9 @@
     return reply->set_verb(i, JobVerb::held);
   }
   const auto record = wire::decode_cbor(message.record);
-  auto spec = record ? wire::parse_job(*record) : wire::malformed("not CBOR");
+  const auto spec = record.and_then(wire::parse_job);
+  if (!spec)
+    refused_offers_.count(spec.error());
   if (!spec || spec->ref != message.ref)
     return reply->set_verb(i, JobVerb::never);
   if (catalog_.types().empty() || !foreign_job_capacity_known_)
--- a/src/controller/stats.cpp
+++ b/src/controller/stats.cpp
@@ -37,6 +37,11 @@
 
 Stats Controller::stats() const {
   Stats s = stats_;
+  s.refused_messages = {{"submission", submission_.counts().refused_messages},
+                        {"heartbeat", heartbeats_.refused()},
+                        {"command_reply", workers_.refused_replies()},
+                        {"forwarded_reply", peer_calls_.refused_replies()},
+                        {"offer", refused_offers_}};
   s.heartbeats = heartbeats_.count();
   s.submissions = submission_.counts().submitted;
   s.jobs_accepted = submission_.counts().accepted;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -192,13 +192,16 @@
     if (to_worker) {
       reply.heartbeat = outcome.body;
     } else if (to_controller) {
-      reply.frame = peer::decode(outcome.body);
+      reply.frame = decode_frame(outcome.body);
     } else if (auto body = wire::decode_cbor(outcome.body, wire::InvalidText::replace)) {
       reply.body = std::move(*body);
-    } else if (outcome.status == 200) {
+    } else {
+      refused_replies_.count(body.error());
+      spdlog::warn("daemon: reply refused from={} method={} path={} error=\"{}\" bytes={}", name(call.target),
+                   call.method, call.path, body.error().text(), outcome.body.size());
       // This counts as no reply: the request may have been executed.
-      spdlog::warn("daemon: reply is not CBOR method={} path={}", call.method, call.path);
-      reply.status = 0;
+      if (outcome.status == 200)
+        reply.status = 0;
     }
   }
   controller_.on_reply(loop_.now(), id, reply);
@@ -208,6 +211,20 @@
   return controller_.leader_election().fencing_token();
 }
 
+controller::Stats Daemon::stats() const {
+  controller::Stats stats = controller_.stats();
+  stats.refused_messages.push_back({"frame", refused_frames_});
+  stats.refused_messages.push_back({"reply", refused_replies_});
+  return stats;
+}
+
+std::optional<peer::Frame> Daemon::decode_frame(const std::string& bytes) {
+  auto frame = peer::decode(bytes);
+  if (!frame)
+    refused_frames_.count(wire::RefusalReason::malformed);
+  return frame;
+}
+
 net::Task<std::optional<ports::Answer>> Daemon::wait_for_answer(std::uint64_t id) {
   net::OneShot<ports::Answer> pending_answer;
   open_requests_.emplace(id, &pending_answer);
@@ -221,7 +238,7 @@
   net::Response response;
   if (request.target == kMetricsPath && request.method == "GET") {
     response.content_type = "text/plain; version=0.0.4";
-    response.body = render_metrics(controller_.stats(), client_server_.connections());
+    response.body = render_metrics(stats(), client_server_.connections());
     co_return response;
   }
   controller::IncomingRequest incoming;
@@ -266,7 +283,7 @@
                                     .path = request.target,
                                     .body = request.body,
                                     .fencing_token = fencing_token()});
-    const auto frame = peer::decode(request.body);
+    const auto frame = decode_frame(request.body);
     if (!frame) {
       response.status = 400;
       co_return response;
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -30,6 +30,9 @@
   net::Task<net::Response> serve_peer(net::Request request);
   net::DetachedTask execute_call(ports::Call call);
   std::uint64_t fencing_token() const;
+  // The controller's statistics and those of this class.
+  controller::Stats stats() const;
+  std::optional<peer::Frame> decode_frame(const std::string& bytes);
   // Ticks the controller if its next wake-up is due, and executes the calls and answers that it has issued.
   void run_controller();
   // Passes the offset of the wall clock from the loop's clock to the controller, once per second.
@@ -42,6 +45,7 @@
   net::HttpClient client_;
   net::HttpServer client_server_, peer_server_;
   std::uint64_t last_request_ = 0;
+  wire::RefusalCounts refused_frames_, refused_replies_;
   // By request id; each points into the coroutine that waits for the answer.
   std::unordered_map<std::uint64_t, net::OneShot<ports::Answer>*> open_requests_;
   bool running_controller_ = false;  // run_controller() does nothing when it is called from within itself
--- a/src/daemon/metrics_exporter.cpp
+++ b/src/daemon/metrics_exporter.cpp
@@ -60,6 +60,24 @@
                stats.state_throttled);
 }
 
+void add_refusal_metrics(const controller::Stats& stats, MetricsPage& page) {
+  struct ReasonName {
+    wire::RefusalReason reason;
+    const char* name;
+  };
+  constexpr ReasonName kReasons[] = {{wire::RefusalReason::malformed, "malformed"},
+                                     {wire::RefusalReason::nesting, "nesting"},
+                                     {wire::RefusalReason::content, "content"}};
+  auto& refused = page.counters("wingtrail_refused_messages_total",
+                                "messages that could not be read, by reader and reason");
+  for (const controller::Stats::RefusedMessages& messages : stats.refused_messages) {
+    for (const ReasonName& reason : kReasons) {
+      refused.Add({{"reader", messages.reader}, {"reason", reason.name}})
+          .Increment(static_cast<double>(messages.counts.of(reason.reason)));
+    }
+  }
+}
+
 void add_leader_metrics(const controller::Stats& stats, MetricsPage& page) {
   page.gauge("wingtrail_machines", "machines that the leader knows, without those that are gone",
              static_cast<double>(stats.machines));
@@ -304,6 +322,7 @@
 std::string render_metrics(const controller::Stats& stats, std::size_t client_connections) {
   MetricsPage page;
   add_request_metrics(stats, client_connections, page);
+  add_refusal_metrics(stats, page);
   add_leader_metrics(stats, page);
   add_placement_metrics(stats, page);
   add_delegation_metrics(stats, page);
--- a/src/simulation/message_corruption.cpp
+++ b/src/simulation/message_corruption.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::size_t kMaxMutations = 4;  // of one message
 constexpr std::size_t kLongTextBytes = 5000;
+constexpr std::size_t kMaxUnitBytes = 3;
+constexpr std::size_t kMaxWrappings = 2 * static_cast<std::size_t>(wire::kMaxDepth);
 
 }  // namespace
 
@@ -17,6 +19,8 @@
 }
 
 std::string MessageCorruption::corrupt_cbor(const std::string& bytes) {
+  if (below(20) == 0)
+    return repeated_unit(bytes);
   std::string corrupted = bytes;
   auto value = wire::decode_cbor(bytes, wire::InvalidText::replace);
   if (!value || below(3) == 0) {
@@ -28,6 +32,16 @@
   return wire::encode_cbor(*value);
 }
 
+std::string MessageCorruption::repeated_unit(const std::string& bytes) {
+  std::string message = bytes.substr(0, below(bytes.size() + 1));
+  std::string unit;
+  for (std::size_t size = below(kMaxUnitBytes) + 1; size > 0; --size)
+    unit += static_cast<char>(rng_());
+  while (message.size() + unit.size() <= wire::kMaxBody)
+    message += unit;
+  return message;
+}
+
 std::string MessageCorruption::corrupt_frame(peer::Frame frame) {
   std::string* const texts[] = {&frame.node, &frame.leader, &frame.method, &frame.path, &frame.cell};
   double* const numbers[] = {&frame.retry_after_s,
@@ -111,7 +125,9 @@
 }
 
 wire::Value MessageCorruption::unusual_value() {
-  switch (below(7)) {
+  switch (below(8)) {
+    case 7:
+      return wrapped_value();
     case 0:
       return unusual_text();
     case 1:
@@ -129,6 +145,17 @@
   }
 }
 
+wire::Value MessageCorruption::wrapped_value() {
+  wire::Value value = unusual_text();
+  for (std::size_t wrappings = below(kMaxWrappings) + 1; wrappings > 0; --wrappings) {
+    if (below(2) == 0)
+      value = wire::Value::array({std::move(value)});
+    else
+      value = wire::Value::object({{"x", std::move(value)}});
+  }
+  return value;
+}
+
 std::string MessageCorruption::unusual_text() {
   static const std::string kTexts[] = {"",        "x",         "/",       "req-1",
                                        "req-1/0", "j/",        "f/req-1", "j/req-1/abort",
--- a/src/simulation/message_corruption.hpp
+++ b/src/simulation/message_corruption.hpp
@@ -28,10 +28,14 @@
     return rng_(static_cast<std::uint32_t>(limit));
   }
   void corrupt_bytes(std::string& bytes);
+  // A beginning of the message, filled up to the limit of size with repetitions of some bytes.
+  std::string repeated_unit(const std::string& bytes);
   // Replaces, removes or duplicates one part of the value.
   void corrupt_value(wire::Value& value);
   void corrupt_member(wire::Value& container, wire::Value& member);
   wire::Value unusual_value();
+  // A text within many lists and maps.
+  wire::Value wrapped_value();
   std::string unusual_text();
   double unusual_number();
 
--- a/src/wire/heartbeat_reader.cpp
+++ b/src/wire/heartbeat_reader.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <span>
 
+#include "wire/cbor_reader.hpp"
 #include "wire/field_names.hpp"
 #include "wire/job_messages.hpp"
 #include "wire/parsing.hpp"
@@ -101,7 +102,7 @@
 // Handles the events of the CBOR parser. Unknown fields are skipped with everything that they contain. A
 // known field that occurs twice or has the wrong type makes the whole heartbeat malformed. Every event
 // handler returns whether to continue parsing.
-class HeartbeatReader : public nlohmann::json_sax<Value> {
+class HeartbeatReader : public CborHandler {
  public:
   Heartbeat heartbeat;
   std::string problem;
@@ -143,7 +144,6 @@
   bool end_array() override;
   bool key(string_t& name) override;
   bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
-    problem = "not CBOR";
     return false;
   }
 
@@ -254,9 +254,7 @@
 }
 
 bool HeartbeatReader::start_object(std::size_t) {
-  if (++depth_ > kMaxDepth)
-    return fail();
-  if (depth_ == kHeartbeatDepth)
+  if (++depth_ == kHeartbeatDepth)
     return true;
   if (in_task()) {
     task_ = {};
@@ -280,7 +278,7 @@
 }
 
 bool HeartbeatReader::start_array(std::size_t) {
-  if (++depth_ > kMaxDepth || depth_ == kHeartbeatDepth)
+  if (++depth_ == kHeartbeatDepth)
     return fail();
   if (depth_ == kTaskListDepth && field_ == Field::tasks) {
     in_task_list_ = true;
@@ -318,11 +316,9 @@
 
 Result<Heartbeat> parse_heartbeat(std::string_view cbor) {
   HeartbeatReader reader;
-  try {
-    Value::sax_parse(cbor.begin(), cbor.end(), &reader, nlohmann::json::input_format_t::cbor);
-  } catch (const std::exception& error) {
-    return malformed(error.what());
-  }
+  auto read = read_cbor(cbor, reader);
+  if (!read && reader.problem.empty())
+    return tl::make_unexpected(std::move(read.error()));
   if (!reader.complete())
     return malformed(std::move(reader.problem));
   return std::move(reader.heartbeat);
--- a/src/wire/value.cpp
+++ b/src/wire/value.cpp
@@ -3,15 +3,15 @@
 #include <cmath>
 #include <vector>
 
+#include "wire/cbor_reader.hpp"
 #include "wire/utf8.hpp"
 
 namespace wingtrail::wire {
 namespace {
 
-// Builds a value, and rejects what the builder of nlohmann::json accepts: deep nesting, duplicate keys,
-// binary strings, text that is not UTF-8, NaN and infinity. An event handler that returns false ends the
-// parsing at once, which bounds the recursion.
-class StrictBuilder : public nlohmann::json_sax<Value> {
+// Builds a value, and rejects what the builder of nlohmann::json accepts: duplicate keys, binary strings,
+// text that is not UTF-8, NaN and infinity.
+class StrictBuilder : public CborHandler {
  public:
   StrictBuilder(Value& root, InvalidText invalid_text) : root_(root), invalid_text_(invalid_text) {}
 
@@ -74,8 +74,6 @@
     return true;
   }
   bool open(Value value) {
-    if (stack_.size() >= static_cast<std::size_t>(kMaxDepth))
-      return false;
     stack_.push_back(place(std::move(value)));
     return true;
   }
@@ -107,16 +105,11 @@
 
 }  // namespace
 
-std::optional<Value> decode_cbor(std::string_view bytes, InvalidText invalid_text) {
+Result<Value> decode_cbor(std::string_view bytes, InvalidText invalid_text) {
   Value root;
   StrictBuilder builder(root, invalid_text);
-  try {
-    if (!Value::sax_parse(bytes.begin(), bytes.end(), &builder, nlohmann::json::input_format_t::cbor)) {
-      return std::nullopt;
-    }
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  if (auto read = read_cbor(bytes, builder); !read)
+    return tl::make_unexpected(std::move(read.error()));
   return root;
 }
 
--- a/src/wire/value.hpp
+++ b/src/wire/value.hpp
@@ -9,12 +9,15 @@
 #include <string>
 #include <string_view>
 
+#include "wire/parse_result.hpp"
+
 namespace wingtrail::wire {
 
 /// A message or a part of one: null, boolean, number, text, list or map.
 using Value = nlohmann::json;
 
-/// The deepest nesting accepted, because the decoder recurses. The protocol needs at most 5 levels.
+/// The deepest nesting of lists and maps accepted, because the decoder recurses. The protocol needs at most 5
+/// levels.
 inline constexpr int kMaxDepth = 24;
 /// The largest body of a request that is accepted, in bytes.
 inline constexpr std::size_t kMaxBody = 64UL * 1024;
@@ -30,9 +33,9 @@
   replace
 };
 
-/// Decodes one value. Returns none if the bytes are malformed, or contain trailing bytes, binary strings,
-/// duplicate keys, NaN, infinity or more than kMaxDepth levels. All text in the result is UTF-8.
-std::optional<Value> decode_cbor(std::string_view bytes, InvalidText invalid_text = InvalidText::refuse);
+/// Decodes one value. Fails if the bytes are malformed, or contain trailing bytes, binary strings, duplicate
+/// keys, NaN, infinity or more than kMaxDepth levels. All text in the result is UTF-8.
+Result<Value> decode_cbor(std::string_view bytes, InvalidText invalid_text = InvalidText::refuse);
 /// Encodes the value as CBOR.
 std::string encode_cbor(const Value& value);
 
--- a/src/workers/commands.cpp
+++ b/src/workers/commands.cpp
@@ -353,6 +353,8 @@
     mark_changed(machine);
   machine.unreachable = false;
   const auto heartbeat = wire::parse_heartbeat(reply.heartbeat);
+  if (!heartbeat)
+    refused_replies_.count(heartbeat.error());
   if (!heartbeat || heartbeat->host != machine.host) {
     spdlog::warn("workers: malformed command reply host={}", machine.host);
     return true;
--- a/src/workers/worker_manager.hpp
+++ b/src/workers/worker_manager.hpp
@@ -182,6 +182,10 @@
   std::uint64_t unknown_tokens() const {
     return unknown_tokens_;
   }
+  /// Replies of workers to commands that could not be read.
+  const wire::RefusalCounts& refused_replies() const {
+    return refused_replies_;
+  }
   /// Whether the machine does not respond although there is contact with other machines of its zone, so that
   /// the machine itself has failed and not the network to the zone.
   bool is_isolated_failure(const Machine& machine) const {
@@ -392,6 +396,7 @@
   ForgetCommands forgets_;
   std::uint64_t unexpected_attempts_ = 0;
   std::uint64_t unknown_tokens_ = 0;
+  wire::RefusalCounts refused_replies_;
   std::uint64_t direct_calls_ = 0;
   std::uint64_t deadline_checks_ = 0;
   std::uint64_t liveness_sweeps_ = 0;
--- a/tests/controller_processes.cpp
+++ b/tests/controller_processes.cpp
@@ -108,6 +108,15 @@
   controllers_[i].pid = -1;
 }
 
+std::optional<std::string> ControllerProcesses::ended_by_itself(std::size_t i) {
+  int status = 0;
+  if (controllers_[i].pid <= 0 || waitpid(controllers_[i].pid, &status, WNOHANG) != controllers_[i].pid)
+    return std::nullopt;
+  controllers_[i].pid = -1;
+  return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status))
+                             : "exit status " + std::to_string(WEXITSTATUS(status));
+}
+
 void ControllerProcesses::pause(std::size_t i) {
   if (controllers_[i].pid > 0)
     ::kill(controllers_[i].pid, SIGSTOP);
--- a/tests/controller_processes.hpp
+++ b/tests/controller_processes.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <filesystem>
+#include <optional>
 #include <string>
 
 #include "settings/settings.hpp"
@@ -53,6 +54,8 @@
   /// Starts controller `i`, unless it runs. `tunables`: a file; empty: none.
   void start(std::size_t i, const std::string& program, const std::string& tunables);
   void kill(std::size_t i);
+  /// Returns how controller `i` has ended, as a text, if it has ended by itself since the last call.
+  std::optional<std::string> ended_by_itself(std::size_t i);
   /// Stops the process, or lets it continue. Does nothing if it does not run.
   void pause(std::size_t i);
   void resume(std::size_t i);
--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -79,6 +79,8 @@
 mutant "commands: a worker is not called again for a stop that it has not confirmed" workers/commands.cpp 's/ \|\|\s+\(allocation\.occupies_machine && allocation\.stop_requested\);/;/'
 mutant "quota: team quotas are not enforced" filters/quota_filter.cpp 's/const settings::Team\* team = settings_\.find_team\(job\.team\);/const settings::Team* team = settings_.find_team(job.team);\n  if (!(job.index == jobs::kNoIndex)) return true;/'
 mutant "quota: jobs of a team that the settings do not name may start" filters/team_filter.hpp 's/return settings_\.find_team\(job\.team\) != nullptr;/return settings_.find_team(job.team) != nullptr || true;/'
+mutant "nesting: a part of a text may open further parts" wire/cbor_reader.cpp 's/if \(seen\.nested\)/if (false)/'
+mutant "nesting: the depth of lists and maps is not limited" wire/cbor_reader.cpp 's/return \+\+depth_ <= kMaxDepth;/return ++depth_ > 0;/'
 mutant "text: text that is not UTF-8 is accepted" wire/utf8.cpp 's/return utf8::is_valid\(bytes\.begin\(\), bytes\.end\(\)\);/return utf8::is_valid(bytes.begin(), bytes.end()) || true;/'
 mutant "quota: tasks that unreconciled machines may still run are not counted" filters/quota_filter.cpp 's/usage\.cpus \+ unknown->cpus/usage.cpus/'
 mutant "zones: spread_zones does not limit a job's tasks in one zone" filters/zone_filter.cpp 's/return !job\.spec\.spread_zones \|\| /return true || /'
--- a/tests/process_cluster.cpp
+++ b/tests/process_cluster.cpp
@@ -22,6 +22,7 @@
 
 #include "controller_processes.hpp"
 #include "load_balancer.hpp"
+#include "nested_bodies.hpp"
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -33,6 +34,7 @@
 namespace {
 
 constexpr net::Seconds kUserTimeoutS = 10, kPeerTimeoutS = 5;
+constexpr net::Seconds kRestartS = 3;  // within which a killed controller is up again
 
 struct Options {
   std::string program, former;
@@ -40,7 +42,7 @@
   std::string tunables;
   std::uint64_t seed = 1;
   double troubles = 0;
-  bool end_one = false, tell = false, gap = false, late_messages = false, soak = false;
+  bool end_one = false, tell = false, gap = false, late_messages = false, soak = false, nested_bodies = false;
   int workers = 0;
   std::size_t max_connections = 1000;
   std::string planted_fault;
@@ -148,6 +150,8 @@
       soak_faults_ = std::make_unique<SoakFaults>(*cluster_, processes_, options_.seed, soak_faults_end_s());
       soak_faults_->schedule();
     }
+    if (options_.nested_bodies)
+      schedule_nested_bodies();
     if (options_.gap)
       schedule_gap();
     if (options_.late_messages)
@@ -177,6 +181,44 @@
                                         SimulatedCluster::DuplicateArrival::later);
   }
 
+  // Sends each nested body to each controller, to each path that reads bodies, until shortly before the end.
+  void schedule_nested_bodies() {
+    constexpr double kFirstAtS = 5;
+    const std::vector<std::string> bodies = nested_bodies(wire::kMaxBody);
+    const std::array paths = {wire::kJobsPath, wire::kHeartbeatPath, peer::kPeerPath};
+    const auto count = static_cast<double>(bodies.size() * paths.size() * kControllers);
+    const double interval_s = (options_.seconds - kUserTimeoutS - kFirstAtS) / count;
+    double at = kFirstAtS;
+    for (const std::string& body : bodies) {
+      for (const char* path : paths) {
+        for (std::size_t i = 0; i < kControllers; ++i) {
+          cluster_->schedule_at(at, [this, i, path, body] { send_nested_body(i, path, body); });
+          at += interval_s;
+        }
+      }
+    }
+  }
+  // Whether a request sent at that time must be answered.
+  bool must_be_answered(double sent_at) const {
+    return options_.soak ? sent_at > soak_faults_end_s() + kRestartS : options_.troubles == 0;
+  }
+  net::DetachedTask send_nested_body(std::size_t i, std::string path, std::string body) {
+    const std::uint16_t port =
+        path == peer::kPeerPath ? processes_.ports(i).peer : processes_.ports(i).client;
+    const double sent_at = now();
+    net::Request request{"POST", path, std::move(body)};
+    const net::CallResult result = co_await client_.call(
+        kLoopback, port, std::move(request), "application/cbor", loop_.now() + kUserTimeoutS, ports::kNever);
+    if (scope_.cancelled())
+      co_return;
+    if (result.status != 0)
+      ++nested_bodies_answered_;
+    else if (must_be_answered(sent_at))
+      failures_.push_back("a nested body was not answered by node-" + std::to_string(i) + " on " + path);
+    if (result.status / 100 == 2)
+      failures_.push_back("a nested body was accepted by node-" + std::to_string(i) + " on " + path);
+  }
+
   // The state service refuses the leader alone, jobs are cancelled, then the service is down
   // for every controller (docs/combined-faults.md).
   void schedule_gap() {
@@ -203,11 +245,22 @@
   // the event loop's clock.
   net::Seconds step() {
     cluster_->step(now());
+    for (std::size_t i = 0; i < kControllers; ++i) {
+      if (const auto how = processes_.ended_by_itself(i))
+        failures_.push_back("node-" + std::to_string(i) + " ended by itself: " + *how);
+    }
     return start_ + std::min(cluster_->next(), options_.seconds);
   }
-  // True when the time is up or a rule is broken.
+  // True when the time is up, a rule is broken or a controller has failed.
   bool over() {
-    return now() >= options_.seconds || !cluster_->run_report().broken_rules.empty();
+    return now() >= options_.seconds || !cluster_->run_report().broken_rules.empty() || !failures_.empty();
+  }
+  // Controllers that ended by themselves, and nested bodies that were not answered.
+  const std::vector<std::string>& failures() const {
+    return failures_;
+  }
+  std::size_t nested_bodies_answered() const {
+    return nested_bodies_answered_;
   }
   const RunReport& close() {
     return cluster_->close();
@@ -413,6 +466,8 @@
   std::unordered_map<std::string, std::unique_ptr<net::HttpClient>> worker_clients_;
   std::unique_ptr<SimulatedCluster> cluster_;
   std::vector<std::unique_ptr<net::HttpServer>> servers_;
+  std::vector<std::string> failures_;
+  std::size_t nested_bodies_answered_ = 0;
   net::Seconds start_ = 0;
 };
 
@@ -440,6 +495,8 @@
   app.add_flag(
       "--late-messages", options.late_messages,
       "delay direct commands, send copies of heartbeats to every controller again, and repeat requests");
+  app.add_flag("--nested-bodies", options.nested_bodies,
+               "send bodies that are nested as deeply as their size allows, and demand answers");
   app.add_flag("--soak", options.soak,
                "overlapping faults until 40 s before the end; then every job must be answered within 20 s");
   app.add_option("--workers", options.workers, "number of workers of a soak; 0: the default")
@@ -475,10 +532,14 @@
   loop.run();
   scope.cancel();
   simulation::RunReport total;
+  std::size_t failures = 0, nested_bodies_answered = 0;
   for (auto& c : cells) {
     const simulation::RunReport& own = c->close();
     for (const auto& b : own.broken_rules)
       std::cout << b << "\n";
+    for (const auto& failure : c->failures())
+      std::cout << failure << "\n";
+    failures += c->failures().size(), nested_bodies_answered += c->nested_bodies_answered();
     total.broken_rules.insert(total.broken_rules.end(), own.broken_rules.begin(), own.broken_rules.end());
     total.accepted += own.accepted, total.started += own.started, total.finished += own.finished;
     total.with_dependencies += own.with_dependencies, total.orphaned += own.orphaned,
@@ -497,6 +558,8 @@
             << " tasks in another cell than their home, " << total.repeated_commands << " commands and "
             << total.repeated_requests << " other requests carried out twice, " << total.broken_rules.size()
             << " rules broken\n";
+  if (options.nested_bodies)
+    std::cout << nested_bodies_answered << " nested bodies answered\n";
   if (options.soak)
     std::cout << "soak seed " << options.seed << ": longest without an answer after the last fault "
               << total.longest_unanswered << " s, at any time beside answers "
@@ -507,5 +570,6 @@
                       : "Rules were broken, see above.\n");
   // Unfinished jobs are no failure: the run is too short. The tests in simulated time check
   // that all jobs finish.
-  return total.broken_rules.empty() && total.finished > 0 ? 0 : 1;
+  const bool answered = !options.nested_bodies || nested_bodies_answered > 0;
+  return total.broken_rules.empty() && failures == 0 && answered && total.finished > 0 ? 0 : 1;
 }
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -15,7 +15,7 @@
 soak() { # SEED OPTION...
   local seed=$1
   shift
-  if LOG_LEVEL=error timeout 200 "$build/process_cluster" --program "$build/wingtrail" --tunables deploy/tunables.yaml --soak \
+  if LOG_LEVEL=error timeout 200 "$build/process_cluster" --program "$build/wingtrail" --tunables deploy/tunables.yaml --soak --nested-bodies \
     --seconds 80 --seed "$seed" "$@" >"$work/$seed" 2>&1; then
     echo "passed $(tail -1 "$work/$seed")"
   else
