Jobs: record pages that wait for one another neither overflow the stack nor hang a new leader

What callers would have seen: each new leader ends, or answers nothing, while it reads stored record pages that share entries.

Cause: RecordPages::waits_for called itself for each page that must be written before, and followed every way to a page anew. Depth: the number of pages; time: the number of ways. The class of the fault before: a resource that grows with what is read.

Fix: a loop over the pages still to visit, each visited once; nothing waits for a page that blocks none. The answers are the same.

--- a/src/jobs/record_pages.hpp
+++ b/src/jobs/record_pages.hpp
@@ -165,12 +165,25 @@
     page_of_.emplace(entry, number);
     sizes_.emplace(entry, bytes);
   }
+  // Whether the page is `other`, or must be written after it, directly or because of pages in between.
   bool waits_for(std::size_t number, std::size_t other) const {
     if (number == other)
       return true;
-    return number < pages_.size() &&
-           std::any_of(pages_[number].blocked_by.begin(), pages_[number].blocked_by.end(),
-                       [&](std::size_t first) { return waits_for(first, other); });
+    if (number >= pages_.size() || pages_[number].blocked_by.empty() || pages_[other].blocks.empty())
+      return false;
+    std::set<std::size_t> visited{number};
+    std::vector<std::size_t> to_visit{number};
+    while (!to_visit.empty()) {
+      const std::size_t page = to_visit.back();
+      to_visit.pop_back();
+      for (const std::size_t first : pages_[page].blocked_by) {
+        if (first == other)
+          return true;
+        if (visited.insert(first).second)
+          to_visit.push_back(first);
+      }
+    }
+    return false;
   }
   // Makes page `blocked` wait for page `first`, unless that would close a cycle: none of the pages of a cycle
   // could ever be written.
