Log why the job that waits longest finds no machine

When a job waits beside machines that look free, neither log nor metrics told which rule refuses them: the metric wingtrail_waiting_for_cores says 'room' for every refusal that depends on the machine.

Scheduler::refusal and WorkerManager::unavailability name the reason; can_start_on and accepts_tasks ask them, so the log and the decision are the same code. No decision changes.

--- a/src/filters/filter_chain.cpp
+++ b/src/filters/filter_chain.cpp
@@ -33,9 +33,10 @@
   return quota_->admits_tasks(job, 1) ? "room" : quota_->name();
 }
 
-bool FilterChain::admits(const Machine& machine, const Job& job) const {
-  return std::all_of(filters_.begin(), filters_.end(),
-                     [&](const auto& filter) { return filter->admits(machine, job); });
+const Filter* FilterChain::first_refusing_filter(const Machine& machine, const Job& job) const {
+  const auto refusing = std::find_if(filters_.begin(), filters_.end(),
+                                     [&](const auto& filter) { return !filter->admits(machine, job); });
+  return refusing == filters_.end() ? nullptr : refusing->get();
 }
 
 }  // namespace wingtrail::filters
--- a/src/filters/filter_chain.hpp
+++ b/src/filters/filter_chain.hpp
@@ -32,7 +32,11 @@
     return !first_refusing_filter(job);
   }
   /// Whether the job's next task may start on this machine, given that `admits(job)` holds.
-  bool admits(const Machine& machine, const Job& job) const;
+  bool admits(const Machine& machine, const Job& job) const {
+    return !first_refusing_filter(machine, job);
+  }
+  /// The first filter that refuses the job this machine, given that `admits(job)` holds; null if there is none.
+  const Filter* first_refusing_filter(const Machine& machine, const Job& job) const;
   /// The first filter that refuses the job regardless of the machine; null if there is none.
   const Filter* first_refusing_filter(const Job& job) const;
   /// Why the job waits: the name of the first filter that refuses it, or the name of the quota filter if the
--- a/src/scheduling/eligibility.cpp
+++ b/src/scheduling/eligibility.cpp
@@ -33,15 +33,26 @@
 }
 
 bool Scheduler::can_start_on(const Machine& machine, const Job& job, bool ignore_capacity) const {
-  if (!has_startable_task(job) || !workers_.accepts_tasks(machine) ||
-      !filters::placement_allowed(job, machine.type, machine.zone, machine.spot) ||
-      workers::WorkerManager::ignores_next_start(machine, job))
-    return false;
+  return has_startable_task(job) && refusal(machine, job, ignore_capacity).empty();
+}
+
+// Why the next task of a job that has a startable task may not start on the machine; empty if it may.
+std::string_view Scheduler::refusal(const Machine& machine, const Job& job, bool ignore_capacity) const {
+  const workers::Unavailability unavailability = workers_.unavailability(machine);
+  if (unavailability != workers::Unavailability::none)
+    return to_string(unavailability);
+  if (!filters::placement_allowed(job, machine.type, machine.zone, machine.spot))
+    return "placement";
+  if (workers::WorkerManager::ignores_next_start(machine, job))
+    return "attempt_known";
   if (!ignore_capacity && !machine.fits(job.spec.task_resources))
-    return false;
+    return "capacity";
   if (machine.short_only && is_long(job))
-    return false;
-  return fast_enough(machine, job) && filters_.admits(machine, job);
+    return "short_partition";
+  if (!fast_enough(machine, job))
+    return "slow";
+  const filters::Filter* refusing = filters_.first_refusing_filter(machine, job);
+  return refusing ? refusing->name() : std::string_view();
 }
 
 // Whether the machine is fast enough for the job. A slow machine runs jobs that meet their next deadline on
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -227,8 +227,10 @@
   place_short_jobs(std::move(short_jobs));
   if (update_due && !waiting_jobs_.empty())
     reclaim_guarantees();
-  if (update_due)
+  if (update_due) {
     update_waiting_load();
+    report_longest_wait();
+  }
   if (update_due && balancing_enabled_) {
     update_machine_speeds();
     plan_migrations();
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <pcg_random.hpp>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -144,6 +145,9 @@
   void place_short_jobs(std::vector<Job*> short_jobs);
   bool has_startable_task(const Job& job) const;
   bool can_start_on(const Machine& machine, const Job& job, bool ignore_capacity = false) const;
+  std::string_view refusal(const Machine& machine, const Job& job, bool ignore_capacity = false) const;
+  const Job* longest_waiting_for_room() const;
+  void report_longest_wait();
   bool within_guarantee(const Job& job) const;
   bool exceeds_guarantee(const Job& job) const;
   bool gang_fits(const Job& job);
@@ -211,6 +215,7 @@
   std::vector<JobIndex> overdue_jobs_;  // the overdue ones of waiting_jobs_, longest wait first
   bool zones_unstable_ = false;         // a zone is lost or recovering, as of this pass
   Seconds last_update_at_ = 0;          // when the work that is due once a second was last done
+  Seconds next_wait_report_at_ = 0;     // when report_longest_wait() may log again
   // Failed searches for a preemption in this pass, by priority. They are counted separately so that job
   // arrays that find nothing of lower priority to stop do not use up the searches of services.
   std::array<int, 4> failed_preemptions_{};
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -31,6 +32,38 @@
 /// A machine's health, judged by the failures and run times of its tasks.
 enum class Health : std::uint8_t { healthy, suspect, unhealthy };
 
+/// Why a machine takes no new tasks.
+enum class Unavailability : std::uint8_t {
+  none,            ///< It takes new tasks.
+  leaving,         ///< It is being drained, returned or preempted, or is gone.
+  starting,        ///< Its worker is not up, or its inventory record is not persisted yet.
+  not_reconciled,  ///< It may run tasks that this leader does not know.
+  faulty,          ///< It is presumed faulty, since tasks of several jobs failed on it.
+  recent_failure,  ///< A task failed on it a short time ago.
+  unresponsive,    ///< It, or its zone, does not answer.
+};
+
+/// The name of the reason in logs.
+inline std::string_view to_string(Unavailability reason) {
+  switch (reason) {
+    case Unavailability::none:
+      return "none";
+    case Unavailability::leaving:
+      return "leaving";
+    case Unavailability::starting:
+      return "starting";
+    case Unavailability::not_reconciled:
+      return "not_reconciled";
+    case Unavailability::faulty:
+      return "faulty";
+    case Unavailability::recent_failure:
+      return "recent_failure";
+    case Unavailability::unresponsive:
+      return "unresponsive";
+  }
+  return "unknown";
+}
+
 /// The state of the delivery of commands to a worker. Times are seconds of this controller's clock.
 struct CommandDelivery {
   bool call_in_flight = false;
--- a/src/workers/worker_manager.cpp
+++ b/src/workers/worker_manager.cpp
@@ -174,12 +174,21 @@
   events_.on_available(machine);
 }
 
-bool WorkerManager::accepts_tasks(const Machine& machine) const {
-  return !machine.gone && !machine.being_returned && !machine.draining && machine.has_incarnation &&
-         machine.in_inventory && machine.fenced && machine.stray_instance_count == 0 &&
-         machine.health == Health::healthy && out_.now() >= machine.avoid_until && !machine.preemption_at &&
-         machine.cpus > 0 && !machine.unreachable && time_since_contact(machine) < unresponsive_threshold() &&
-         !zones_.is_unresponsive(machine.zone, out_.now()) && !lease_near_expiry(machine);
+Unavailability WorkerManager::unavailability(const Machine& machine) const {
+  if (machine.gone || machine.being_returned || machine.draining || machine.preemption_at)
+    return Unavailability::leaving;
+  if (!machine.has_incarnation || !machine.in_inventory || machine.cpus <= 0)
+    return Unavailability::starting;
+  if (!machine.fenced || machine.stray_instance_count > 0)
+    return Unavailability::not_reconciled;
+  if (machine.health != Health::healthy)
+    return Unavailability::faulty;
+  if (out_.now() < machine.avoid_until)
+    return Unavailability::recent_failure;
+  if (machine.unreachable || time_since_contact(machine) >= unresponsive_threshold() ||
+      zones_.is_unresponsive(machine.zone, out_.now()) || lease_near_expiry(machine))
+    return Unavailability::unresponsive;
+  return Unavailability::none;
 }
 
 // Whether an idle worker's lease may be about to expire. Direct calls do not renew a worker's lease, and a
--- a/src/workers/worker_manager.hpp
+++ b/src/workers/worker_manager.hpp
@@ -149,7 +149,11 @@
   // ---- placement
 
   /// Whether the machine accepts new tasks now.
-  bool accepts_tasks(const Machine& machine) const;
+  bool accepts_tasks(const Machine& machine) const {
+    return unavailability(machine) == Unavailability::none;
+  }
+  /// Why the machine takes no new tasks, whatever the job.
+  Unavailability unavailability(const Machine& machine) const;
   /// Places no new tasks on the machine before that time.
   void avoid_until(Machine& machine, Seconds until);
   /// Marks the machine's entry in the placement index as stale. To be called after every change to the
