A job is started again on a machine that failed it

Cause: Job::failed_machines was a list without an end. FailureFilter and the choice of a migration's target refused the machine for the rest of the leadership, unless three different machines failed the job, and a quiet cluster does not have three that fit.

Time always passes, so the refusal ends without any event.

--- a/src/filters/failure_filter.cpp
+++ b/src/filters/failure_filter.cpp
@@ -1,7 +1,5 @@
 #include "filters/failure_filter.hpp"
 
-#include <algorithm>
-
 namespace wingtrail::filters {
 
 bool FailureFilter::admits(const Job& job) const {
@@ -9,8 +7,7 @@
 }
 
 bool FailureFilter::admits(const Machine& machine, const Job& job) const {
-  return std::find(job.failed_machines.begin(), job.failed_machines.end(), machine.index) ==
-         job.failed_machines.end();
+  return !job.excludes(machine.index, out_.now());
 }
 
 }  // namespace wingtrail::filters
--- a/src/filters/failure_filter.hpp
+++ b/src/filters/failure_filter.hpp
@@ -7,8 +7,9 @@
 namespace wingtrail::filters {
 
 /// Refuses a job until the back-off after its last failure is over, so that a fault of the job does not
-/// occupy the cluster with restarts. Refuses the machines on which the job has failed before, so that a
-/// fault of a machine does not fail the job again.
+/// occupy the cluster with restarts. Refuses a machine on which the job has failed for a while, so that a
+/// fault of the machine does not fail the job again. The refusal ends by time alone, as there may be no other
+/// machine for the job.
 class FailureFilter : public Filter {
  public:
   explicit FailureFilter(const ports::Outbox& out) : out_(out) {}
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -2,6 +2,7 @@
 /// The leader's record of a live job and its tasks.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +26,14 @@
   std::uint32_t pending_position = 0;  ///< its position in Job::pending_tasks while it is pending
 };
 
+/// The failures of a job's tasks on one machine.
+struct MachineFailures {
+  MachineIndex machine;
+  /// Number of times that a task failed while the machine was not excluded.
+  unsigned count = 0;
+  Seconds excluded_until = 0;  ///< no task of the job is started on the machine before this time
+};
+
 /// A live job. All times are in seconds of the process's steady clock unless a field says otherwise.
 ///
 /// The registry owns the jobs and keeps their tasks and task counts consistent. The heading of each group of
@@ -84,7 +93,7 @@
 
   // ---- failure history. A task that fails on one machine while others succeed points to a faulty machine;
   // one that fails on all machines points to a faulty job.
-  std::vector<MachineIndex> failed_machines;
+  std::vector<MachineFailures> failed_machines;
   std::uint32_t error_count = 0;
   Seconds last_start_at = 0;
   std::uint32_t lost_starts = 0;   ///< starts that did not lead to a completed task, for any reason
@@ -102,6 +111,12 @@
   bool is_open() const {
     return !final_state_pending && !final_state_recorded;
   }
+  /// Whether a task failed on the machine so lately that no task of the job is started there now.
+  bool excludes(MachineIndex machine, Seconds now) const {
+    return std::any_of(failed_machines.begin(), failed_machines.end(), [&](const MachineFailures& failures) {
+      return failures.machine == machine && now < failures.excluded_until;
+    });
+  }
   /// True if none of its tasks may be started here.
   bool is_held() const {
     return unmet_dependencies > 0 || orphaned || cancelling || placed_remotely;
--- a/src/scheduling/migration.cpp
+++ b/src/scheduling/migration.cpp
@@ -68,10 +68,9 @@
            ++it, ++examined) {
         Machine& machine = workers_.machine_at(it->second);
         ++machines_examined_;
-        const bool failed = std::find(job.failed_machines.begin(), job.failed_machines.end(),
-                                      machine.index) != job.failed_machines.end();
-        if (machine.index != from.index && machine.slowdown <= 1 && !failed &&
-            workers_.accepts_tasks(machine) && machine.fits(job.spec.task_resources))
+        if (machine.index != from.index && machine.slowdown <= 1 &&
+            !job.excludes(machine.index, out_.now()) && workers_.accepts_tasks(machine) &&
+            machine.fits(job.spec.task_resources))
           return &machine;
       }
     }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -167,39 +167,6 @@
   estimates_.on_task_completed(job, run_s);
 }
 
-void Scheduler::on_task_failed(Machine& machine, Job& job) {
-  constexpr std::size_t kMaxFailedMachines = 3;  // of a job that never succeeded
-  constexpr Seconds kMaxBackoff = 60;
-  constexpr unsigned kMaxBackoffExponent = 6;
-  constexpr Seconds kMachineBackoff = 15;
-  constexpr std::size_t kJobsFailedWhenFaulty = 2;  // on a machine, since the last success on it
-  const auto add_once = [](auto& list, auto index) {
-    if (std::find(list.begin(), list.end(), index) == list.end())
-      list.push_back(index);
-  };
-  ++job.error_count;
-  add_once(job.failed_machines, machine.index);
-  // A job that failed on three machines and succeeded on none is presumed to be faulty: it backs off, and its
-  // failures no longer count against the machines.
-  if (!job.has_succeeded && job.failed_machines.size() >= kMaxFailedMachines) {
-    job.not_before =
-        out_.now() + std::min(kMaxBackoff, std::pow(2.0, std::min(job.error_count, kMaxBackoffExponent)));
-    for (const MachineIndex index : job.failed_machines)
-      std::erase(workers_.machine_at(index).failed_jobs, job.index);
-    job.failed_machines.clear();
-    return;
-  }
-  add_once(machine.failed_jobs, job.index);
-  // The cause of a single failure, job or machine, is not known yet; the machine gets no new tasks for
-  // a while.
-  workers_.avoid_until(machine, out_.now() + kMachineBackoff);
-  if (machine.failed_jobs.size() >= kJobsFailedWhenFaulty || (job.has_succeeded && job.error_count >= 1)) {
-    if (machine.health != workers::Health::unhealthy)
-      spdlog::warn("scheduler: machine suspected faulty host={}", machine.host);
-    machine.health = workers::Health::unhealthy;
-  }
-}
-
 void Scheduler::run_pass() {
   failed_preemptions_.fill(0);
   zones_unstable_ = workers_.zones().any_unstable(out_.now());
--- a/src/simulation/combined_faults.cpp
+++ b/src/simulation/combined_faults.cpp
@@ -36,6 +36,8 @@
                   static_cast<int>(what), until);
     if (what == MachineFault::hung)
       machine->hung_until = until;
+    if (what == MachineFault::fails_tasks)
+      machine->fails_tasks_until = until;
     if (what == MachineFault::incoming_lost)
       machine->incoming_lost_until = until;
     if (what == MachineFault::outgoing_lost)
--- a/src/simulation/components.hpp
+++ b/src/simulation/components.hpp
@@ -48,8 +48,8 @@
   std::string name, address;
   std::size_t type = 0, zone = 0;
   bool spot = false, up = false, gone = false, dead = false, never_boots = false, fails_tasks = false;
-  double rented_at = 0, hung_until = -1, incoming_lost_until = -1, outgoing_lost_until = -1, slowdown = 1,
-         clock_rate = 1;
+  double rented_at = 0, hung_until = -1, incoming_lost_until = -1, outgoing_lost_until = -1,
+         fails_tasks_until = -1, slowdown = 1, clock_rate = 1;
   std::uint64_t incarnation = 1, sequence = 0, fencing_token = 0;
   double lease_renewed_at = 0;
   std::size_t node = 0;
--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -210,6 +210,8 @@
   const RunReport& close();
   /// A user submits the job now and, unless `cancel_at` is negative, cancels it at that time.
   void submit_job(const wire::JobSpec& spec, double run_s, double cancel_at = -1);
+  /// From now on every task of the job fails, as if it had been submitted with a mistake.
+  void make_job_fail(const std::string& ref);
   /// Adds users who query the job every few seconds, besides its own user.
   void add_pollers(const std::string& ref, int users);
   /// Returns whether all tasks of the job have completed.
@@ -257,6 +259,7 @@
     hung,           // executes nothing until the fault ends, then continues
     incoming_lost,  // its heartbeats arrive; answers to them and direct commands are lost
     outgoing_lost,  // its heartbeats reach no controller; direct commands arrive
+    fails_tasks,    // every task that it starts fails
     unreachable,    // cut off from all controllers in both directions; its tasks continue
   };
   /// Applies the fault to up to `n` machines that are up, first to those with tasks of job `ref`. Returns how
--- a/src/simulation/users.cpp
+++ b/src/simulation/users.cpp
@@ -71,6 +71,10 @@
   });
 }
 
+void SimulatedCluster::make_job_fail(const std::string& ref) {
+  jobs_.at(ref)->always_fails = true;
+}
+
 void SimulatedCluster::add_pollers(const std::string& ref, int users) {
   for (int n = 0; n < users; ++n)
     add_event_after(random_between(0, 4), [this, &job = *jobs_.at(ref)] { poll(job); });
--- a/src/simulation/workers.cpp
+++ b/src/simulation/workers.cpp
@@ -278,7 +278,7 @@
                                  !task.job->begun_tasks.contains(task.index);
     check_start(machine, task, *task.job);
     double run = task.job->run_s * random_between(0.9, 1.1) * machine.slowdown;
-    if (machine.fails_tasks || task.job->always_fails) {
+    if (machine.fails_tasks || now_ < machine.fails_tasks_until || task.job->always_fails) {
       add_event_after(random_between(0.1, 1), [this, host = machine.name, attempt, name] {
         finish_task(*machines_.at(host), attempt, name, "error");
       });
--- /dev/null
+++ b/tests/failed_tasks_test.cpp
@@ -0,0 +1,67 @@
+// Tasks that fail, by a fault of the machine or of the job, on as few machines as a quiet cluster has.
+#include <gtest/gtest.h>
+
+#include "scenarios.hpp"
+#include "wire/job_messages.hpp"
+
+namespace wingtrail::simulation {
+namespace {
+
+constexpr double kLongestWait = 90;  // of a job beside a machine that fits, once the faults are over; seconds
+
+class FailedTasks : public ::testing::TestWithParam<std::uint64_t> {
+ protected:
+  void SetUp() override {
+    configure_logging();
+  }
+  void TearDown() override {
+    for (const auto& broken : run_report_)
+      ADD_FAILURE() << broken;
+  }
+
+  static wire::JobSpec service_of(int n, std::uint32_t replicas) {
+    wire::JobSpec spec = job_of(n, replicas, "red");
+    spec.shape = wire::Shape::service;
+    spec.priority = wire::Priority::production;
+    spec.allows_spot = false;
+    return spec;
+  }
+
+  void close(SimulatedCluster& cluster) {
+    run_report_ = cluster.close().broken_rules;
+  }
+
+  std::vector<std::string> run_report_;
+};
+
+// Guards against a job that is never started again on the only machine, which failed it once.
+TEST_P(FailedTasks, AServiceStartsAgainOnTheOnlyMachineAfterItsFault) {
+  SimulatedCluster cluster(scripted(GetParam(), 1));
+  cluster.begin();
+  cluster.step(10);
+  ASSERT_EQ(cluster.fail_machines(SimulatedCluster::MachineFault::fails_tasks, 1, 7), 1U);
+  cluster.submit_job(service_of(1, 1), 0);
+  cluster.step(18 + kLongestWait);
+  EXPECT_EQ(cluster.replicas_up("req-1"), 1U);
+  close(cluster);
+}
+
+// Guards against a faulty job that is restarted without a back-off while only one machine fits.
+TEST_P(FailedTasks, AFaultyJobBacksOffOnTheOnlyMachine) {
+  SimulatedCluster cluster(scripted(GetParam(), 1));
+  cluster.begin();
+  cluster.step(10);
+  cluster.submit_job(job_of(1, 1, "red"), 5);
+  cluster.make_job_fail("req-1");
+  cluster.step(310);
+  EXPECT_GE(cluster.run_report().started, 4U) << "expected retries";
+  EXPECT_LE(cluster.run_report().started, 12U) << "expected at least 25 s between two starts on average";
+  cluster.cancel("req-1");
+  cluster.step(340);
+  close(cluster);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FailedTasks, ::testing::Range<std::uint64_t>(1, 6));
+
+}  // namespace
+}  // namespace wingtrail::simulation
