A machine on which jobs failed takes tasks again after a while

Callers saw: two jobs with a mistake failed on each of two machines and were cancelled.

Cause: a machine on which two jobs failed was 'unhealthy' until a task completed on it. It got no tasks, so none could complete; it was returned only when nothing ran on it, and with a service that is never. The failures also kept counting when the jobs turned out to be at fault. It lasted until the leader changed.

Failures of a job are withdrawn once it is presumed faulty, or over without a success; a machine without evidence left is open at once. The autoscaler asks the same question (Machine::is_quarantined), so what it counts as capacity is what takes tasks. An idle machine in quarantine is returned as before.

--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -103,8 +103,8 @@
 
 // Whether the machine can run new tasks now or soon.
 bool Autoscaler::counts_as_capacity(const Machine& machine) const {
-  if (machine.gone || machine.being_returned || machine.draining ||
-      machine.health == workers::Health::unhealthy || machine.preemption_at)
+  if (machine.gone || machine.being_returned || machine.draining || machine.is_quarantined(out_.now()) ||
+      machine.preemption_at)
     return false;
   if (machine.has_incarnation)
     return true;
@@ -171,7 +171,7 @@
     refusing_machines_.push_back(machine.index);
   if (machine.draining)
     draining_machines_.push_back(machine.index);
-  if (machine.health == workers::Health::unhealthy && machine.has_incarnation && !machine.busy())
+  if (machine.is_quarantined(out_.now()) && machine.has_incarnation && !machine.busy())
     faulty_machines_.push_back(machine.index);
   // A machine that boots in an unreachable zone cannot send heartbeats, so whether it is up is known only
   // after the zone has become reachable again.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -114,6 +114,8 @@
 }
 
 void Scheduler::on_job_over(const Job& job) {
+  if (!job.has_succeeded)
+    withdraw_evidence(job);
   load_.on_job_over(job);
   reservations_.remove_job(job.index);
   estimates_.on_job_over(job);
@@ -145,10 +147,7 @@
   constexpr double kMinSamples = 3;     // completed tasks of the job, for a mean to compare with
   constexpr double kMinRatio = 0.2, kMaxRatio = 10.0;
   constexpr double kSampleWeight = 0.15;  // of one task in the machine's moving average
-  machine.failed_jobs.clear();
-  if (machine.health != workers::Health::healthy)
-    workers_.mark_changed(machine);
-  machine.health = workers::Health::healthy;
+  workers_.end_quarantine(machine);
   job.has_succeeded = true;
   const double run_s = out_.now() - allocation.running_since;
   if (allocation.running_since <= 0 || run_s < kMinRunTime)
--- a/src/scheduling/scheduler.hpp
+++ b/src/scheduling/scheduler.hpp
@@ -139,6 +139,9 @@
   };
   void on_task_completed(Machine& machine, Job& job, const Allocation& allocation);
   void on_task_failed(Machine& machine, Job& job);
+  void quarantine(Machine& machine);
+  // No longer counts the job's failures against the machines on which it failed.
+  void withdraw_evidence(const Job& job);
   void record_own_waiting_work();
   std::vector<Job*> classify_waiting_jobs();
   void place_long_jobs();
--- a/src/scheduling/task_failures.cpp
+++ b/src/scheduling/task_failures.cpp
@@ -56,8 +56,7 @@
   if (!job.has_succeeded && failure_count(job) >= kFailuresWhenJobFaulty) {
     job.not_before =
         out_.now() + std::min(kMaxBackoff, std::pow(2.0, std::min(job.error_count, kMaxBackoffExponent)));
-    for (const jobs::MachineFailures& failures : job.failed_machines)
-      std::erase(workers_.machine_at(failures.machine).failed_jobs, job.index);
+    withdraw_evidence(job);
     job.failed_machines.clear();
     return;
   }
@@ -67,10 +66,28 @@
   // The cause of a single failure, job or machine, is not known yet; the machine gets no new tasks for
   // a while.
   workers_.avoid_until(machine, out_.now() + kMachineBackoff);
-  if (failed_jobs.size() >= kJobsFailedWhenFaulty || job.has_succeeded) {
-    if (machine.health != workers::Health::unhealthy)
-      spdlog::warn("scheduler: machine suspected faulty host={}", machine.host);
-    machine.health = workers::Health::unhealthy;
+  if (failed_jobs.size() >= kJobsFailedWhenFaulty || job.has_succeeded)
+    quarantine(machine);
+}
+
+// Whether the jobs or the machine are at fault is not known, and a machine that runs services may never
+// complete a task that proves it sound. So it takes tasks again after a while; the next failure closes it for
+// longer.
+void Scheduler::quarantine(Machine& machine) {
+  if (machine.is_quarantined(out_.now()))
+    return;
+  const Seconds closed_s = exclusion_time(machine.quarantines + 1);
+  spdlog::warn("scheduler: machine suspected faulty host={} failed_jobs={} quarantined_s={:.0f}",
+               machine.host, machine.failed_jobs.size(), closed_s);
+  workers_.quarantine(machine, out_.now() + closed_s);
+}
+
+void Scheduler::withdraw_evidence(const Job& job) {
+  for (const jobs::MachineFailures& failures : job.failed_machines) {
+    Machine& machine = workers_.machine_at(failures.machine);
+    std::erase(machine.failed_jobs, job.index);
+    if (machine.failed_jobs.empty())
+      workers_.end_quarantine(machine);
   }
 }
 
--- a/src/simulation/simulated_cluster.cpp
+++ b/src/simulation/simulated_cluster.cpp
@@ -182,11 +182,11 @@
           continue;
         spdlog::debug(
             "simulation: leader_machine host={} type={} zone={} spot={} used={} cpus={} has_incarnation={} "
-            "fenced={} in_inventory={} health={} stray_instances={} draining={} being_returned={} "
-            "accepts_tasks={}",
+            "fenced={} in_inventory={} quarantines={} stray_instances={} draining={} being_returned={} "
+            "unavailability={}",
             m.host, m.type, m.zone, m.spot, m.used.cpus, m.cpus, m.has_incarnation, m.fenced, m.in_inventory,
-            static_cast<int>(m.health), m.stray_instance_count, m.draining, m.being_returned,
-            c->controller->workers().accepts_tasks(m));
+            m.quarantines, m.stray_instance_count, m.draining, m.being_returned,
+            to_string(c->controller->workers().unavailability(m)));
       }
     }
   }
--- a/src/workers/deadlines.cpp
+++ b/src/workers/deadlines.cpp
@@ -105,8 +105,10 @@
     schedule_check(machine, machine.lease_expires_at);
   if ((machine.has_incarnation || !machine.fenced) && zones_.is_unreachable(machine.zone, now))
     return probe_unreachable_zone(machine);
-  if (machine.avoid_until > now)
-    schedule_check(machine, machine.avoid_until);
+  for (const Seconds closed_until : {machine.avoid_until, machine.quarantined_until}) {
+    if (closed_until > now)
+      schedule_check(machine, closed_until);
+  }
   if (has_commands(machine))
     resend_commands(machine);
   mark_if_unresponsive(machine);
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -29,16 +29,13 @@
 /// the past to count as unresponsive.
 inline constexpr Seconds kNeverContacted = -1e9;
 
-/// A machine's health, judged by the failures and run times of its tasks.
-enum class Health : std::uint8_t { healthy, suspect, unhealthy };
-
 /// Why a machine takes no new tasks.
 enum class Unavailability : std::uint8_t {
   none,            ///< It takes new tasks.
   leaving,         ///< It is being drained, returned or preempted, or is gone.
   starting,        ///< Its worker is not up, or its inventory record is not persisted yet.
   not_reconciled,  ///< It may run tasks that this leader does not know.
-  faulty,          ///< It is presumed faulty, since tasks of several jobs failed on it.
+  quarantined,     ///< It is presumed faulty for a while, since tasks of several jobs failed on it.
   recent_failure,  ///< A task failed on it a short time ago.
   unresponsive,    ///< It, or its zone, does not answer.
 };
@@ -54,8 +51,8 @@
       return "starting";
     case Unavailability::not_reconciled:
       return "not_reconciled";
-    case Unavailability::faulty:
-      return "faulty";
+    case Unavailability::quarantined:
+      return "quarantined";
     case Unavailability::recent_failure:
       return "recent_failure";
     case Unavailability::unresponsive:
@@ -140,9 +137,10 @@
   std::vector<std::pair<ImageIndex, Seconds>> images;  ///< Presumed content of its cache, with last use.
 
   // ---- health
-  Health health = Health::healthy;
   Seconds avoid_until = 0;            ///< It gets no new tasks before this time.
   std::vector<JobIndex> failed_jobs;  ///< Jobs that failed on it since the last success.
+  Seconds quarantined_until = 0;      ///< It is presumed faulty until then.
+  unsigned quarantines = 0;           ///< How often it has been quarantined since the last success.
   double observed_slowdown = 1;       ///< Run times on it relative to the jobs' mean run times.
   int slowdown_samples = 0;           ///< Number of run times in observed_slowdown.
   double slowdown = 1;                ///< observed_slowdown, but 1 until there are enough samples.
@@ -156,6 +154,10 @@
     constexpr int kReportsThatProve = 3;  // a single one may be a corrupted message
     return unknown_token_reports >= kReportsThatProve;
   }
+  /// Whether it is presumed faulty now.
+  bool is_quarantined(Seconds now) const {
+    return now < quarantined_until;
+  }
   /// Whether any allocation occupies the machine.
   bool busy() const {
     return std::any_of(allocations.begin(), allocations.end(),
--- a/src/workers/worker_manager.cpp
+++ b/src/workers/worker_manager.cpp
@@ -181,8 +181,8 @@
     return Unavailability::starting;
   if (!machine.fenced || machine.stray_instance_count > 0)
     return Unavailability::not_reconciled;
-  if (machine.health != Health::healthy)
-    return Unavailability::faulty;
+  if (machine.is_quarantined(out_.now()))
+    return Unavailability::quarantined;
   if (out_.now() < machine.avoid_until)
     return Unavailability::recent_failure;
   if (machine.unreachable || time_since_contact(machine) >= unresponsive_threshold() ||
@@ -209,6 +209,21 @@
   stale_index_entries_.push_back(machine.index);
 }
 
+void WorkerManager::quarantine(Machine& machine, Seconds until) {
+  machine.quarantined_until = until;
+  ++machine.quarantines;
+  mark_changed(machine);
+  schedule_check(machine, until);
+}
+
+void WorkerManager::end_quarantine(Machine& machine) {
+  machine.failed_jobs.clear();
+  machine.quarantines = 0;
+  if (machine.is_quarantined(out_.now()))
+    mark_changed(machine);
+  machine.quarantined_until = 0;
+}
+
 void WorkerManager::avoid_until(Machine& machine, Seconds until) {
   machine.avoid_until = until;
   mark_changed(machine);
--- a/src/workers/worker_manager.hpp
+++ b/src/workers/worker_manager.hpp
@@ -156,6 +156,10 @@
   Unavailability unavailability(const Machine& machine) const;
   /// Places no new tasks on the machine before that time.
   void avoid_until(Machine& machine, Seconds until);
+  /// Presumes the machine faulty until the given time: it gets no new tasks, and is returned if it is idle.
+  void quarantine(Machine& machine, Seconds until);
+  /// Presumes the machine sound, and forgets which jobs failed on it.
+  void end_quarantine(Machine& machine);
   /// Marks the machine's entry in the placement index as stale. To be called after every change to the
   /// machine's free capacity, cached images or ability to accept tasks.
   void mark_changed(Machine& machine);
--- a/tests/failed_tasks_test.cpp
+++ b/tests/failed_tasks_test.cpp
@@ -61,6 +61,49 @@
   close(cluster);
 }
 
+// Guards against machines that take no work again after two faulty jobs, as the services on them never end.
+TEST_P(FailedTasks, MachinesWithServicesTakeTasksAgainAfterFaultyJobsAreCancelled) {
+  SimulatedCluster cluster(scripted(GetParam(), 2));
+  cluster.begin();
+  cluster.step(5);
+  cluster.submit_job(service_of(1, 2), 0);
+  cluster.step(15);
+  ASSERT_EQ(cluster.replicas_up("req-1"), 2U);
+  for (const int n : {2, 3}) {
+    cluster.submit_job(job_of(n, 1, "red"), 5, 32);
+    cluster.make_job_fail("req-" + std::to_string(n));
+  }
+  cluster.step(34);
+  cluster.submit_job(job_of(4, 1, "red"), 5);
+  cluster.step(34 + kLongestWait);
+  EXPECT_TRUE(cluster.is_done("req-4"));
+  EXPECT_EQ(cluster.replicas_up("req-1"), 2U) << "expected the machines to stay";
+  close(cluster);
+}
+
+// Guards against machines that stay closed for as long as the faulty jobs are retried.
+TEST_P(FailedTasks, MachinesWithServicesTakeTasksBesideFaultyJobs) {
+  SimulatedCluster cluster(scripted(GetParam(), 2));
+  cluster.begin();
+  cluster.step(5);
+  cluster.submit_job(service_of(1, 2), 0);
+  cluster.step(15);
+  for (int n = 2; n <= 7; ++n) {
+    cluster.submit_job(job_of(n, 1, "red"), 5, 290);
+    cluster.make_job_fail("req-" + std::to_string(n));
+  }
+  for (int n = 10; n <= 12; ++n) {
+    const double submitted_at = 34 + 90.0 * (n - 10);
+    cluster.step(submitted_at);
+    cluster.submit_job(job_of(n, 1, "red"), 5);
+    cluster.step(submitted_at + kLongestWait);
+    EXPECT_TRUE(cluster.is_done("req-" + std::to_string(n))) << "submitted at " << submitted_at;
+  }
+  EXPECT_EQ(cluster.replicas_up("req-1"), 2U) << "expected the machines to stay";
+  cluster.step(330);
+  close(cluster);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, FailedTasks, ::testing::Range<std::uint64_t>(1, 6));
 
 }  // namespace
