Machines are rented for tasks that no rented machine has room for

Cause: the autoscaler counted room by cores over all machines, or by type, while the scheduler refuses a machine for want of memory, for its zone, or since the job failed there. Free cores that no waiting task may use then kept machines from being rented. Jobs that name types or a zone, and spread services on ordinary machines, had exceptions; others had none.

Change: once a second the tasks that wait for nothing but a machine, services first, at most 64, are packed into the room that rented and requested machines have now or once tasks that end by themselves have ended (RoomPlan), with the scheduler's rules on placement, zone and partition. A machine on which the job failed twice is no room. What finds none gets the cheapest machine that fits. Machines with planned tasks are not drained or returned in the same second.

--- a/src/autoscaling/autoscaler.hpp
+++ b/src/autoscaling/autoscaler.hpp
@@ -3,11 +3,14 @@
 #pragma once
 
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 #include "autoscaling/machine_listing.hpp"
 #include "autoscaling/pool_capacity.hpp"
 #include "autoscaling/rental_requests.hpp"
+#include "autoscaling/room_plan.hpp"
 #include "scheduling/scheduler.hpp"
 #include "wire/cloud_messages.hpp"
 #include "workers/worker_manager.hpp"
@@ -64,10 +67,22 @@
   // Requests machines for `tasks` tasks of the job in the cheapest pool that it may use; returns false if no
   // pool can be used now.
   bool request_for_job(const jobs::Job& job, double tasks);
+  // Requests machines of the pool for that many tasks of the job, at least one.
+  void request_for_tasks(const jobs::Job& job, const Pool& pool, double tasks, const char* reason);
   // Requests machines with `missing` cores in total, in the given zone or in all zones. Returns the number of
   // cores for which no pool was left to request them in.
   double request_cores(bool spot, double missing, const char* reason, ZoneIndex zone = jobs::kNoIndex);
   void scale_out_restricted_jobs();
+  void scale_out_for_room();
+  bool waits_for_machine(const jobs::Job& job) const;
+  std::vector<const jobs::Job*> jobs_waiting_for_machines() const;
+  wire::Resources room_of(const Machine& machine) const;
+  RoomPlan plan_of_rented_machines() const;
+  bool may_run_on(const jobs::Job& job, const MachineRoom& room) const;
+  bool plan_task(const jobs::Job& job, RoomPlan& plan, std::map<Pool, int>& to_request);
+  void keep_for_planned_task(MachineIndex index);
+  // The cheapest pool that is available and whose machines the job may use.
+  std::optional<Pool> cheapest_pool(const jobs::Job& job) const;
   double spare_share() const;
   void request_machines(const Pool& pool, int count, const char* reason);
   void return_unhealthy();
@@ -110,6 +125,8 @@
   PoolCapacity capacity_;
   // As of the last `update_capacity`.
   std::vector<MachineIndex> draining_machines_, faulty_machines_, refusing_machines_, never_started_machines_;
+  // Machines on which waiting tasks are to be placed, as of the last `scale_out_for_room`.
+  std::set<MachineIndex> machines_with_planned_tasks_;
   // When machines were last requested for a job that only some machine types or zones may run.
   std::map<JobIndex, Seconds> restricted_job_requested_at_;
   bool active_ = false;
--- a/src/autoscaling/scale_out.cpp
+++ b/src/autoscaling/scale_out.cpp
@@ -135,6 +135,7 @@
     if (const jobs::Job* job = registry_.job_at(index))
       scale_out_for_job(*job);
   }
+  scale_out_for_room();
 }
 
 // Requests machines for replicas that only one zone may run, because the other zones are unreachable or
@@ -208,46 +209,38 @@
     if (task_capacity(zone) >= needed_tasks)
       return;
   }
+  const std::optional<Pool> pool = cheapest_pool(job);
+  if (!pool)
+    return;
+  const double missing_tasks =
+      needed_tasks - task_capacity(in_one_zone ? std::optional<ZoneIndex>(pool->zone) : std::nullopt);
+  request_for_tasks(job, *pool, missing_tasks, "a job that fits no other machine");
+}
+
+std::optional<Pool> Autoscaler::cheapest_pool(const jobs::Job& job) const {
   for (const bool as_spot : {true, false}) {
     for (const auto& tier : catalog_.price_tiers(as_spot)) {
       for (const Pool& pool : tier) {
-        const double per_machine = tasks_per_machine(catalog_.type(pool.type), job);
-        if (rentals_.is_unavailable(pool) || per_machine < 1 ||
-            !filters::placement_allowed(job, pool.type, pool.zone, pool.spot))
-          continue;
-        const double missing_tasks =
-            needed_tasks - task_capacity(in_one_zone ? std::optional<ZoneIndex>(pool.zone) : std::nullopt);
-        const int machines = static_cast<int>(std::ceil(missing_tasks / per_machine));
-        return request_machines(pool, std::clamp(machines, 1, kMaxMachinesPerRequest),
-                                "a job that fits no other machine");
+        if (!rentals_.is_unavailable(pool) && tasks_per_machine(catalog_.type(pool.type), job) >= 1 &&
+            filters::placement_allowed(job, pool.type, pool.zone, pool.spot) &&
+            scheduler_.filters().zones().admits_zone(pool.zone, job))
+          return pool;
       }
     }
   }
+  return std::nullopt;
 }
 
 bool Autoscaler::request_for_job(const jobs::Job& job, double tasks) {
-  for (const bool as_spot : {true, false}) {
-    for (const auto& tier : catalog_.price_tiers(as_spot)) {
-      for (const Pool& pool : tier) {
-        const wire::MachineType* type = catalog_.type(pool.type);
-        if (rentals_.is_unavailable(pool) || !type ||
-            !filters::placement_allowed(job, pool.type, pool.zone, pool.spot))
-          continue;
-        const wire::Resources& task = job.spec.task_resources;
-        if (task.cpus > type->cpus || task.gpus > type->gpus || task.memory_gb > type->memory_gb)
-          continue;
-        constexpr double kMinAmount = 1e-9;  // cores or GB: avoids a division by 0
-        const double by_cores = type->cpus / std::max(task.cpus, kMinAmount);
-        const double by_memory = type->memory_gb / std::max(task.memory_gb, kMinAmount);
-        const double per_machine = std::max(1.0, std::floor(std::min(by_cores, by_memory)));
-        const int machines = static_cast<int>(std::ceil(tasks / per_machine));
-        request_machines(pool, std::clamp(machines, 1, kMaxMachinesPerRequest),
-                         "a job that few machines may run");
-        return true;
-      }
-    }
-  }
-  return false;
+  const std::optional<Pool> pool = cheapest_pool(job);
+  if (pool)
+    request_for_tasks(job, *pool, tasks, "a job that few machines may run");
+  return pool.has_value();
+}
+
+void Autoscaler::request_for_tasks(const jobs::Job& job, const Pool& pool, double tasks, const char* reason) {
+  const double machines = std::ceil(tasks / tasks_per_machine(catalog_.type(pool.type), job));
+  request_machines(pool, static_cast<int>(std::clamp<double>(machines, 1, kMaxMachinesPerRequest)), reason);
 }
 
 void Autoscaler::request_machines(const Pool& pool, int count, const char* reason) {
--- a/src/filters/filter_chain.hpp
+++ b/src/filters/filter_chain.hpp
@@ -35,7 +35,8 @@
   bool admits(const Machine& machine, const Job& job) const {
     return !first_refusing_filter(machine, job);
   }
-  /// The first filter that refuses the job this machine, given that `admits(job)` holds; null if there is none.
+  /// The first filter that refuses the job this machine, given that `admits(job)` holds; null if there is
+  /// none.
   const Filter* first_refusing_filter(const Machine& machine, const Job& job) const;
   /// The first filter that refuses the job regardless of the machine; null if there is none.
   const Filter* first_refusing_filter(const Job& job) const;
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -111,6 +111,13 @@
   bool is_open() const {
     return !final_state_pending && !final_state_recorded;
   }
+  /// Number of times that a task failed on the machine while the machine was not excluded.
+  unsigned failures_on(MachineIndex machine) const {
+    const auto known =
+        std::find_if(failed_machines.begin(), failed_machines.end(),
+                     [machine](const MachineFailures& failures) { return failures.machine == machine; });
+    return known == failed_machines.end() ? 0 : known->count;
+  }
   /// Whether a task failed on the machine so lately that no task of the job is started there now.
   bool excludes(MachineIndex machine, Seconds now) const {
     return std::any_of(failed_machines.begin(), failed_machines.end(), [&](const MachineFailures& failures) {
