--- a/src/autoscaling/room_plan.hpp
+++ b/src/autoscaling/room_plan.hpp
@@ -25,8 +25,8 @@
  public:
   using Admits = std::function<bool(const MachineRoom&)>;
 
-  void add(MachineRoom room) {
-    rooms_.push_back(std::move(room));
+  void add(const MachineRoom& room) {
+    rooms_.push_back(room);
   }
   /// Takes room for one task on the first machine that fits it and that `admits` admits. Returns a null
   /// pointer if there is none. The pointer is valid until the next `add`.
