--- a/tests/failed_tasks_test.cpp
+++ b/tests/failed_tasks_test.cpp
@@ -7,31 +7,11 @@
 namespace wingtrail::simulation {
 namespace {
 
-constexpr double kLongestWait = 90;  // of a job beside a machine that fits, once the faults are over; seconds
-
 class FailedTasks : public ::testing::TestWithParam<std::uint64_t> {
  protected:
   void SetUp() override {
     configure_logging();
   }
-  void TearDown() override {
-    for (const auto& broken : run_report_)
-      ADD_FAILURE() << broken;
-  }
-
-  static wire::JobSpec service_of(int n, std::uint32_t replicas) {
-    wire::JobSpec spec = job_of(n, replicas, "red");
-    spec.shape = wire::Shape::service;
-    spec.priority = wire::Priority::production;
-    spec.allows_spot = false;
-    return spec;
-  }
-
-  void close(SimulatedCluster& cluster) {
-    run_report_ = cluster.close().broken_rules;
-  }
-
-  std::vector<std::string> run_report_;
 };
 
 // Guards against a job that is never started again on the only machine, which failed it once.
@@ -43,7 +23,7 @@
   cluster.submit_job(service_of(1, 1), 0);
   cluster.step(18 + kLongestWait);
   EXPECT_EQ(cluster.replicas_up("req-1"), 1U);
-  close(cluster);
+  expect_rules_kept(cluster);
 }
 
 // Guards against a faulty job that is restarted without a back-off while only one machine fits.
@@ -58,7 +38,7 @@
   EXPECT_LE(cluster.run_report().started, 12U) << "expected at least 25 s between two starts on average";
   cluster.cancel("req-1");
   cluster.step(340);
-  close(cluster);
+  expect_rules_kept(cluster);
 }
 
 // Guards against machines that take no work again after two faulty jobs, as the services on them never end.
@@ -78,7 +58,7 @@
   cluster.step(34 + kLongestWait);
   EXPECT_TRUE(cluster.is_done("req-4"));
   EXPECT_EQ(cluster.replicas_up("req-1"), 2U) << "expected the machines to stay";
-  close(cluster);
+  expect_rules_kept(cluster);
 }
 
 // Guards against machines that stay closed for as long as the faulty jobs are retried.
@@ -101,7 +81,7 @@
   }
   EXPECT_EQ(cluster.replicas_up("req-1"), 2U) << "expected the machines to stay";
   cluster.step(330);
-  close(cluster);
+  expect_rules_kept(cluster);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, FailedTasks, ::testing::Range<std::uint64_t>(1, 6));
--- a/tests/scale_out_test.cpp
+++ b/tests/scale_out_test.cpp
@@ -8,8 +8,6 @@
 namespace wingtrail::simulation {
 namespace {
 
-constexpr double kLongestWait = 90;  // of a replica while the cloud has machines, seconds
-
 SimulationPlan growing_cluster(std::uint64_t seed) {
   SimulationPlan plan = scripted(seed, 4);
   plan.max_machines = 12;
@@ -17,15 +15,6 @@
   return plan;
 }
 
-wire::JobSpec service_of(int n, std::uint32_t replicas, double memory_gb) {
-  wire::JobSpec spec = job_of(n, replicas, "red");
-  spec.shape = wire::Shape::service;
-  spec.priority = wire::Priority::production;
-  spec.task_resources = {2, 0, memory_gb};
-  spec.allows_spot = false;
-  return spec;
-}
-
 class ScaleOut : public ::testing::TestWithParam<std::uint64_t> {
  protected:
   ScaleOut() : cluster_(growing_cluster(GetParam())) {
@@ -35,8 +24,7 @@
     cluster_.step(10);
   }
   void TearDown() override {
-    for (const auto& broken : cluster_.close().broken_rules)
-      ADD_FAILURE() << broken;
+    expect_rules_kept(cluster_);
   }
 
   SimulatedCluster cluster_;
--- a/tests/scenarios.hpp
+++ b/tests/scenarios.hpp
@@ -32,6 +32,20 @@
   return s;
 }
 
+/// Longest wait of a job beside a machine that fits, or while the cloud has one, once the faults are over;
+/// seconds.
+inline constexpr double kLongestWait = 90;
+
+/// Returns a service `req-<n>` of replicas with 2 CPUs each, which may not run on spot machines.
+inline wire::JobSpec service_of(int n, std::uint32_t replicas, double memory_gb = 2) {
+  wire::JobSpec s = job_of(n, replicas, "red");
+  s.shape = wire::Shape::service;
+  s.priority = wire::Priority::production;
+  s.task_resources.memory_gb = memory_gb;
+  s.allows_spot = false;
+  return s;
+}
+
 /// Returns a plan without random faults and random jobs, with a fixed number of machines.
 inline SimulationPlan scripted(std::uint64_t seed, int machines) {
   SimulationPlan plan;
@@ -45,6 +59,12 @@
   return plan;
 }
 
+/// Ends the run and fails the test for each rule that was broken in it.
+inline void expect_rules_kept(SimulatedCluster& cluster) {
+  for (const auto& broken : cluster.close().broken_rules)
+    ADD_FAILURE() << broken;
+}
+
 /// Result of a run with one fault.
 struct FaultOutcome {
   RunReport verdict;
