Scaling out for room: only services take the room that they are planned into

Traced: forty waiting one-task arrays each took room of their own in the plan, so three machines were rented for work that runs one task after the other in the room there is, and what followed preempted two of them. Now a task of an array only has to find room somewhere. Idle machines are returned as before; only a draining machine that is used again is kept for the pass.

--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -45,7 +45,7 @@
   returns_.clear();
   listing_.clear();
   restricted_job_requested_at_.clear();
-  machines_with_planned_tasks_.clear();
+  machines_used_again_.clear();
   // The following members refer to machines of the leadership that has ended, whose records may be freed.
   capacity_.clear();
   draining_machines_.clear();
--- a/src/autoscaling/autoscaler.hpp
+++ b/src/autoscaling/autoscaler.hpp
@@ -80,7 +80,7 @@
   RoomPlan plan_of_rented_machines() const;
   bool may_run_on(const jobs::Job& job, const MachineRoom& room) const;
   bool plan_task(const jobs::Job& job, RoomPlan& plan, std::map<Pool, int>& to_request);
-  void keep_for_planned_task(MachineIndex index);
+  void use_again(MachineIndex index);
   // The cheapest pool that is available and whose machines the job may use.
   std::optional<Pool> cheapest_pool(const jobs::Job& job) const;
   double spare_share() const;
@@ -125,8 +125,8 @@
   PoolCapacity capacity_;
   // As of the last `update_capacity`.
   std::vector<MachineIndex> draining_machines_, faulty_machines_, refusing_machines_, never_started_machines_;
-  // Machines on which waiting tasks are to be placed, as of the last `scale_out_for_room`.
-  std::set<MachineIndex> machines_with_planned_tasks_;
+  // Formerly draining machines on which waiting tasks are to be placed, as of the last `scale_out_for_room`.
+  std::set<MachineIndex> machines_used_again_;
   // When machines were last requested for a job that only some machine types or zones may run.
   std::map<JobIndex, Seconds> restricted_job_requested_at_;
   bool active_ = false;
--- a/src/autoscaling/room_plan.cpp
+++ b/src/autoscaling/room_plan.cpp
@@ -14,16 +14,29 @@
 
 }  // namespace
 
-const MachineRoom* RoomPlan::take(const wire::Resources& task, const Admits& admits) {
+std::optional<std::size_t> RoomPlan::position(const wire::Resources& task, const Admits& admits) const {
   const auto found = std::find_if(rooms_.begin(), rooms_.end(), [&](const MachineRoom& room) {
     return fits(task, room.free) && admits(room);
   });
   if (found == rooms_.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(found - rooms_.begin());
+}
+
+const MachineRoom* RoomPlan::find(const wire::Resources& task, const Admits& admits) const {
+  const auto found = position(task, admits);
+  return found ? &rooms_[*found] : nullptr;
+}
+
+const MachineRoom* RoomPlan::take(const wire::Resources& task, const Admits& admits) {
+  const auto found = position(task, admits);
+  if (!found)
     return nullptr;
-  found->free.cpus -= task.cpus;
-  found->free.gpus -= task.gpus;
-  found->free.memory_gb -= task.memory_gb;
-  return &*found;
+  MachineRoom& room = rooms_[*found];
+  room.free.cpus -= task.cpus;
+  room.free.gpus -= task.gpus;
+  room.free.memory_gb -= task.memory_gb;
+  return &room;
 }
 
 }  // namespace wingtrail::autoscaling
--- a/src/autoscaling/room_plan.hpp
+++ b/src/autoscaling/room_plan.hpp
@@ -28,11 +28,15 @@
   void add(const MachineRoom& room) {
     rooms_.push_back(room);
   }
-  /// Takes room for one task on the first machine that fits it and that `admits` admits. Returns a null
-  /// pointer if there is none. The pointer is valid until the next `add`.
+  /// The first machine that fits the task and that `admits` admits; null if there is none. The pointer is
+  /// valid until the next `add`.
+  const MachineRoom* find(const wire::Resources& task, const Admits& admits) const;
+  /// The same, and takes room for the task on that machine.
   const MachineRoom* take(const wire::Resources& task, const Admits& admits);
 
  private:
+  std::optional<std::size_t> position(const wire::Resources& task, const Admits& admits) const;
+
   std::vector<MachineRoom> rooms_;
 };
 
--- a/src/autoscaling/scale_in.cpp
+++ b/src/autoscaling/scale_in.cpp
@@ -83,7 +83,7 @@
   const Seconds min_idle_s = std::min(settings_.tunables.idle_return_s, typical_boot_s());
   const bool excess_lasts = now - excess_since_ > settings_.tunables.idle_return_s;
   for (Machine* machine : emptiest_first()) {
-    if (machines_with_planned_tasks_.contains(machine->index) || machine->cpus > excess.total ||
+    if (machines_used_again_.contains(machine->index) || machine->cpus > excess.total ||
         (!machine->spot && machine->cpus > excess.ordinary))
       continue;
     if (!machine->busy()) {
--- a/src/autoscaling/scale_out_for_room.cpp
+++ b/src/autoscaling/scale_out_for_room.cpp
@@ -96,7 +96,7 @@
 
 // Finds a machine for each waiting task, and requests machines for the tasks for which there is none.
 void Autoscaler::scale_out_for_room() {
-  machines_with_planned_tasks_.clear();
+  machines_used_again_.clear();
   const std::vector<const jobs::Job*> waiting = jobs_waiting_for_machines();
   if (waiting.empty())
     return;
@@ -117,32 +117,38 @@
   }
 }
 
-// Returns false if no machine has room for the task and none can be requested.
+// Returns false if no machine has room for the task and none can be requested. Only a replica takes its room:
+// tasks of arrays end, so they can run one after the other in the same room.
 bool Autoscaler::plan_task(const jobs::Job& job, RoomPlan& plan, std::map<Pool, int>& to_request) {
   const wire::Resources& need = job.spec.task_resources;
-  if (const MachineRoom* room =
-          plan.take(need, [&](const MachineRoom& candidate) { return may_run_on(job, candidate); })) {
+  const auto admits = [&](const MachineRoom& room) {
+    return may_run_on(job, room);
+  };
+  const auto find_room = [&] {
+    return job.is_service() ? plan.take(need, admits) : plan.find(need, admits);
+  };
+  if (const MachineRoom* room = find_room()) {
     if (room->machine)
-      keep_for_planned_task(room->machine->index);
+      use_again(room->machine->index);
     return true;
   }
   const std::optional<Pool> pool = cheapest_pool(job);
   if (!pool)
     return false;
   const wire::MachineType& type = *catalog_.type(pool->type);
-  plan.add({*pool, nullptr, {type.cpus - need.cpus, type.gpus - need.gpus, type.memory_gb - need.memory_gb}});
+  plan.add({*pool, nullptr, {type.cpus, type.gpus, type.memory_gb}});
   ++to_request[*pool];
-  return true;
+  return find_room() != nullptr;
 }
 
-// Keeps the machine from being returned or drained before the planned task is placed there.
-void Autoscaler::keep_for_planned_task(MachineIndex index) {
-  machines_with_planned_tasks_.insert(index);
+// Uses a draining machine again, and keeps it from being drained once more in the same pass.
+void Autoscaler::use_again(MachineIndex index) {
   Machine& machine = workers_.machine_at(index);
   if (!machine.draining)
     return;
   machine.draining = false;
   workers_.mark_changed(machine);
+  machines_used_again_.insert(index);
 }
 
 }  // namespace wingtrail::autoscaling
--- a/tests/scale_out_test.cpp
+++ b/tests/scale_out_test.cpp
@@ -66,6 +66,7 @@
     return true;
   };
   EXPECT_EQ(plan.take({2, 1, 2}, admit), nullptr) << "expected no room without a GPU";
+  EXPECT_NE(plan.find({2, 0, 40}, admit), nullptr);
   const autoscaling::MachineRoom* room = plan.take({2, 0, 40}, admit);
   ASSERT_NE(room, nullptr);
   EXPECT_EQ(room->free.memory_gb, 24);
