Log and metrics for the time in which nobody leads

A leader key that stays, a lease that somebody renews, campaigns that fail and a leader that cannot read its records all looked alike.

Change: while a controller knows of no active leader it logs every 10 s the leader key as last read (holder, version, the lease that the value names and the one that the key is attached to), the outcome of its last campaign, and the leader that it believes in. Metrics wingtrail_leaderless_seconds and wingtrail_leader_key_without_lease. The leader key's value is read and written in one place (leadership/leader_key).

--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -372,7 +372,13 @@
   out_.after(kStatusInterval, [this] { probe_state_service(); });
 }
 
+bool Controller::knows_active_leader() const {
+  const auto leader = peers_.reachable_leader(election_.leader());
+  return is_active_leader() || (leader && peers_[*leader].answers_heartbeats);
+}
+
 void Controller::run_periodic_tasks() {
+  leader_absence_.update(out_.now(), knows_active_leader(), election_);
   // If the state service fails while a new leader is loading, that leader knows no machines and cannot renew
   // their leases, yet its leadership keeps other controllers from renewing them. So it resigns.
   if (election_.holds_leadership() && !loaded_ &&
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -26,6 +26,7 @@
 #include "controller/job_lookup.hpp"
 #include "controller/job_queries.hpp"
 #include "controller/job_submission.hpp"
+#include "controller/leader_absence_reporter.hpp"
 #include "controller/leader_clock.hpp"
 #include "controller/machine_catalog.hpp"
 #include "controller/overload_monitor.hpp"
@@ -107,6 +108,8 @@
   // Leadership and the state service.
   bool leading = false;
   std::uint64_t leader_fencing_token = 0;  ///< the highest known
+  double leaderless_s = 0;                 ///< for how long no active leader has been known
+  bool leader_key_without_lease = false;   ///< the leader key was last read without a lease
   double reconciled_after_s = 0;           ///< duration of the reconciliation; 0: not finished
   std::uint64_t delegated_renewals = 0;
   std::uint64_t delegations_granted = 0;
@@ -262,6 +265,7 @@
   void on_peer_frame(std::size_t peer, const peer::Frame& frame, std::optional<Seconds> request_sent);
   peer::Frame make_frame() const;
   void probe_state_service();
+  bool knows_active_leader() const;
   void run_periodic_tasks();
   void log_stats();
 
@@ -357,6 +361,7 @@
   FinalStateQuery final_state_query_;
   OverloadMonitor overload_;
   RecordingDelayReporter recording_delays_;
+  LeaderAbsenceReporter leader_absence_;
   jobs::DependencyGraph dependencies_;
   jobs::StateWriter state_writer_;
   workers::WorkerManager workers_;
--- a/src/controller/stats.cpp
+++ b/src/controller/stats.cpp
@@ -78,6 +78,10 @@
   s.completions_written = state_writer_.writes().completions;
   s.final_state_backlogs = state_writer_.backlogs();
   s.leader_fencing_token = election_.leader_fencing_token();
+  s.leaderless_s = leader_absence_.absent_for(out_.now());
+  s.leader_key_without_lease =
+      election_.leader_key().presence == leadership::LeaderKeyView::Presence::present &&
+      !election_.leader_key().key.attached_lease;
   s.state_writes = s.final_states_written + s.inventory_written + s.completions_written;
   s.pages_split = state_writer_.pages_split();
   s.malformed_commits = state_writer_.malformed_commits();
--- a/src/daemon/metrics_exporter.cpp
+++ b/src/daemon/metrics_exporter.cpp
@@ -39,6 +39,11 @@
 void add_request_metrics(const controller::Stats& stats, std::size_t client_connections, MetricsPage& page) {
   page.gauge("wingtrail_leading", "1 while this controller is the leader and may send commands",
              stats.leading ? 1 : 0);
+  page.gauge("wingtrail_leaderless_seconds", "seconds since an active leader was last known; 0 while one is",
+             stats.leaderless_s);
+  page.gauge("wingtrail_leader_key_without_lease",
+             "1 if the leader key was last read without a lease, so that it would outlive its leader",
+             stats.leader_key_without_lease ? 1 : 0);
   page.gauge("wingtrail_live_jobs", "jobs without a final state that the leader knows",
              static_cast<double>(stats.live_jobs));
   page.gauge("wingtrail_user_connections", "open connections of users and workers",
--- a/src/leadership/leader_election.cpp
+++ b/src/leadership/leader_election.cpp
@@ -14,7 +14,6 @@
 constexpr double kRenewalsPerLease = 4;
 constexpr double kRetriesPerLease = 12;  // after a renewal without reply
 constexpr Seconds kMinRenewalDelay = 0.05;
-constexpr const char* kNode = "node";  // of the leader key's value
 constexpr const char* kNewerLeaderReason = "a worker knows a newer leader";
 
 wire::Result<wire::Item> parse_leader_key(const store::Reply& reply) {
@@ -22,6 +21,22 @@
 }
 }  // namespace
 
+const char* name(CampaignOutcome outcome) {
+  switch (outcome) {
+    case CampaignOutcome::none:
+      return "none";
+    case CampaignOutcome::no_lease:
+      return "no_lease";
+    case CampaignOutcome::key_exists:
+      return "key_exists";
+    case CampaignOutcome::write_failed:
+      return "write_failed";
+    case CampaignOutcome::won:
+      return "won";
+  }
+  return "unknown";
+}
+
 LeaderElection::LeaderElection(ports::Outbox& out, store::StateClient& store,
                                const settings::Settings& settings, Events events)
     : out_(out), store_(store), settings_(settings), events_(std::move(events)) {}
@@ -47,10 +62,13 @@
 }
 
 void LeaderElection::on_leader_key_read(const store::Reply& reply, Seconds sent) {
+  if (reply.status == 404)
+    leader_key_ = {LeaderKeyView::Presence::absent, {}};
   const auto item = parse_leader_key(reply);
   if (!item)
     return;
-  const auto holder = wire::text(item->value, kNode).value_or("");
+  leader_key_ = {LeaderKeyView::Presence::present, LeaderKey::from(*item)};
+  const std::string& holder = leader_key_.key.holder;
   if (item->version == dropped_token_) {
     dropped_token_ = 0;
     return observe_leader(holder, item->version);
@@ -67,6 +85,7 @@
 void LeaderElection::read_leader_key() {
   store_.get(kLeaderKey, store::RequestPriority::lease, [this](const store::Reply& reply) {
     if (const auto item = parse_leader_key(reply)) {
+      leader_key_ = {LeaderKeyView::Presence::present, LeaderKey::from(*item)};
       on_occupied(*item);
       return watch_leader_key(item->version);
     }
@@ -105,6 +124,7 @@
 }
 
 void LeaderElection::on_vacant(std::uint64_t revision) {
+  leader_key_ = {LeaderKeyView::Presence::absent, {}};
   if (holds_leadership_)
     step_down("leader key deleted");
   if (leader_fencing_token_ <= revision)
@@ -113,8 +133,9 @@
 }
 
 void LeaderElection::on_occupied(const wire::Item& item) {
-  const auto holder = wire::text(item.value, kNode).value_or("");
-  const auto lease = wire::count(item.value, "lease").value_or(0);
+  const LeaderKey key = LeaderKey::from(item);
+  const std::string& holder = key.holder;
+  const std::uint64_t lease = key.named_lease.value_or(0);
   if (item.version > leader_fencing_token_ || (item.version == leader_fencing_token_ && leader_.empty())) {
     if (leader_ != holder)
       spdlog::info("election: leader changed leader={} token={}", holder, item.version);
@@ -145,6 +166,7 @@
         const auto lease = grant.status == 200 ? wire::lease_id(grant.body) : std::nullopt;
         if (!lease) {
           campaigning_ = false;
+          last_campaign_ = CampaignOutcome::no_lease;
           return out_.after(kRetryDelay, [this] {
             if (leader_.empty())
               read_leader_key();
@@ -152,13 +174,15 @@
         }
         lease_ = *lease;
         wire::Transaction txn;
-        txn.require(kLeaderKey, 0).put(kLeaderKey, {{kNode, settings_.node}, {"lease", *lease}}, *lease);
+        txn.require(kLeaderKey, 0).put(kLeaderKey, LeaderKey::value(settings_.node, *lease), *lease);
         store_.transact(std::move(txn), store::RequestPriority::lease, lease_expiry(sent),
                         [this, sent, lease](const store::Reply& reply) {
                           campaigning_ = false;
                           const auto revision = wire::revision(reply.body);
                           if (reply.status == 200 && revision)
                             return on_won(*lease, *revision, sent);
+                          last_campaign_ = reply.status == 409 ? CampaignOutcome::key_exists
+                                                               : CampaignOutcome::write_failed;
                           // If a copy of the write is still in flight, it fails once the lease is revoked.
                           store_.revoke_lease(*lease);
                           if (reply.status != 409)
@@ -172,6 +196,7 @@
 
 void LeaderElection::on_won(std::uint64_t lease, std::uint64_t token, Seconds lease_sent) {
   holds_leadership_ = true;
+  last_campaign_ = CampaignOutcome::won;
   ++term_;
   lease_ = lease;
   fencing_token_ = token;
@@ -180,7 +205,7 @@
   renewed_at_ = lease_sent;
   observe_leader(settings_.node, token);
   leader_ = settings_.node;
-  spdlog::info("election: won token={}", token);
+  spdlog::info("election: won token={} lease={}", token, lease);
   store_.set_leading(true);
   schedule_renewal(settings_.tunables.leader_lease_s / kRenewalsPerLease);
   events_.on_elected();
--- a/src/leadership/leader_election.hpp
+++ b/src/leadership/leader_election.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 
+#include "leadership/leader_key.hpp"
 #include "store/state_client.hpp"
 #include "wire/state_messages.hpp"
 
@@ -13,8 +14,10 @@
 
 using ports::Seconds;
 
-/// The key in the state service that the leader holds.
-inline constexpr const char* kLeaderKey = "lead";
+/// How a controller's latest campaign ended.
+enum class CampaignOutcome : std::uint8_t { none, no_lease, key_exists, write_failed, won };
+/// The outcome's name in log lines.
+const char* name(CampaignOutcome outcome);
 
 /// Campaigns for leadership, renews the leader lease, and tracks which controller leads.
 ///
@@ -68,6 +71,14 @@
   std::uint64_t leader_fencing_token() const {
     return leader_fencing_token_;
   }
+  /// Returns the leader key as last read; the changes that a watch reports do not tell its lease.
+  const LeaderKeyView& leader_key() const {
+    return leader_key_;
+  }
+  /// Returns how this controller's latest campaign ended.
+  CampaignOutcome last_campaign() const {
+    return last_campaign_;
+  }
   /// Records a leader that a peer has reported. Ignored unless its token is higher than all known ones.
   void observe_leader(const std::string& leader, std::uint64_t token);
   /// Handles the reply to a read of the leader key. A higher token that was known before the read was sent is
@@ -126,6 +137,9 @@
   Seconds confirmed_at_ =
       -kConfirmationLifetime;  // when the last such read was sent that found this leader's key
 
+  LeaderKeyView leader_key_;
+  CampaignOutcome last_campaign_ = CampaignOutcome::none;
+
   // The latest leader known, which may be this controller.
   std::string leader_;
   std::uint64_t leader_fencing_token_ = 0;
--- a/src/wire/state_messages.cpp
+++ b/src/wire/state_messages.cpp
@@ -54,7 +54,7 @@
   const auto version = count(map, field::kVersion);
   if (!key || !version || !map.contains(field::kValue))
     return malformed("malformed item");
-  return Item{*key, map[field::kValue], *version};
+  return Item{*key, map[field::kValue], *version, count(map, field::kLease)};
 }
 
 Result<Range> parse_range(const Value& map) {
--- a/src/wire/state_messages.hpp
+++ b/src/wire/state_messages.hpp
@@ -21,6 +21,9 @@
   Value value;
   /// The key's version, which identifies the last change to it.
   std::uint64_t version = 0;
+  /// The lease with which the key ends, in the answer to a read of this key alone; none: the key has no
+  /// lease.
+  std::optional<std::uint64_t> lease = {};
 };
 /// One page of a list of all keys with a prefix.
 struct Range {
