A leader key under lease 0 is attached to that lease

After the crash of the leader that got lease 0 nobody leads, also once its process is back; an accepted job does not start in 90 s beside four empty machines, 46 of 46 requests to cancel are answered 503, and all workers' leases run out.

Cause: Transaction::put took lease 0 for no lease and left `permit` out. PROTOCOL sets no range for it and says "no lease" by leaving it out. The leader renewed its lease, but the key was not attached to it and outlived its leader.

Change: the lease of a put is a std::optional. The simulated state service numbers its leases from 0, and shows a key's lease to its readers.

--- a/src/simulation/simulated_cluster.hpp
+++ b/src/simulation/simulated_cluster.hpp
@@ -391,7 +391,8 @@
   struct NetworkLink;
   struct StoredValue {
     Value value;
-    std::uint64_t version = 0, lease = 0;
+    std::uint64_t version = 0;
+    std::optional<std::uint64_t> lease;
   };
   struct Change {
     std::uint64_t revision;
@@ -555,7 +556,7 @@
   std::map<std::pair<std::string, std::string>, NetworkLink> links_;
 
   std::map<std::string, StoredValue> store_;
-  std::uint64_t revision_ = 0, leases_made_ = 0;
+  std::uint64_t revision_ = 0, next_lease_ = 0;
   std::map<std::uint64_t, std::pair<double, double>> leases_;  // time to live and end, in seconds
   std::vector<Change> changes_;
   std::vector<std::shared_ptr<Watch>> watches_;
--- a/src/simulation/state_service.cpp
+++ b/src/simulation/state_service.cpp
@@ -176,8 +176,9 @@
   };
   if (method == "POST" && path == "/leases") {
     const double ttl = body["ttlMs"].get<double>() / 1000;
-    leases_[++leases_made_] = {ttl, now_ + ttl};
-    return reply(200, {{"permit", leases_made_}});
+    const std::uint64_t lease = next_lease_++;
+    leases_[lease] = {ttl, now_ + ttl};
+    return reply(200, {{"permit", lease}});
   }
   if (path.starts_with("/leases/")) {
     const std::uint64_t id = std::stoull(path.substr(8));
@@ -217,7 +218,10 @@
     auto it = store_.find(path.substr(4));
     if (it == store_.end())
       return reply(404, {{"ledgerRev", revision_}});
-    return reply(200, {{"path", it->first}, {"data", it->second.value}, {"stamp", it->second.version}});
+    Value item{{"path", it->first}, {"data", it->second.value}, {"stamp", it->second.version}};
+    if (it->second.lease)
+      item["permit"] = *it->second.lease;
+    return reply(200, std::move(item));
   }
   // A controller whose settings announce lower limits must respect them from its start. Transactions that
   // were sent before that start may be executed late.
@@ -281,7 +285,7 @@
         run_report_.cancellation_markers += key.ends_with(jobs::kCancellationSuffix);
         if (jobs::is_batch_key(key))
           run_report_.batched += op["data"].size();
-        store_[key] = {op["data"], revision_, op.contains("permit") ? op["permit"].get<std::uint64_t>() : 0};
+        store_[key] = {op["data"], revision_, wire::count(op, "permit")};
         record_change(key, op["data"], false);
       } else if (store_.erase(op["delete"].get<std::string>())) {
         record_change(op["delete"].get<std::string>(), nullptr, true);
--- a/src/wire/state_messages.cpp
+++ b/src/wire/state_messages.cpp
@@ -16,10 +16,10 @@
   return *this;
 }
 
-Transaction& Transaction::put(const std::string& key, Value value, std::uint64_t lease) {
+Transaction& Transaction::put(const std::string& key, Value value, std::optional<std::uint64_t> lease) {
   Value change{{field::kPut, key}, {field::kValue, std::move(value)}};
   if (lease)
-    change[field::kLease] = lease;
+    change[field::kLease] = *lease;
   body_[field::kChanges].push_back(std::move(change));
   ++change_count_;
   return *this;
--- a/src/wire/state_messages.hpp
+++ b/src/wire/state_messages.hpp
@@ -59,8 +59,8 @@
   Transaction();
   /// Adds the condition that the key has this version; 0: that it does not exist.
   Transaction& require(const std::string& key, std::uint64_t version);
-  /// Adds a write. With a `lease` other than 0, the state service deletes the key when the lease ends.
-  Transaction& put(const std::string& key, Value value, std::uint64_t lease = 0);
+  /// Adds a write. With a lease, the state service deletes the key when the lease ends.
+  Transaction& put(const std::string& key, Value value, std::optional<std::uint64_t> lease = {});
   /// Adds a deletion of the key.
   Transaction& erase(const std::string& key);
   /// The number of writes and deletions added so far; the state service limits it.
--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -11,10 +11,10 @@
 
 constexpr std::uint64_t kToken = 12, kLease = 7;
 
-// A leader whose requests to the state service the tests answer.
-class HigherTokenTest : public ::testing::Test {
+// A controller whose requests to the state service the tests answer.
+class LeaderElectionTest : public ::testing::Test {
  protected:
-  HigherTokenTest()
+  LeaderElectionTest()
       : store_(out_, settings_),
         election_(out_, store_, settings_,
                   {[] {},
@@ -24,27 +24,35 @@
     settings_.node = "node-1";
     out_.set_now(100);
     election_.start();
-    answer("/kv/lead", 404, {{"ledgerRev", kToken - 2}});
-    answer("/leases", 200, {{"permit", kLease}});
-    answer("/txn", 200, {{"ledgerRev", kToken}});
   }
 
-  // Whether a request with this path was pending; it gets the reply.
-  bool answer(const std::string& path, int status, const wire::Value& body) {
+  // Takes the oldest pending request whose path begins so.
+  std::optional<ports::Call> take(const std::string& path) {
     for (ports::Action& action : out_.drain())
       pending_.push_back(std::get<ports::Call>(std::move(action)));
     const auto found = std::find_if(pending_.begin(), pending_.end(),
-                                    [&path](const ports::Call& call) { return call.path == path; });
+                                    [&path](const ports::Call& call) { return call.path.starts_with(path); });
     if (found == pending_.end())
-      return false;
-    const std::uint64_t id = found->id;
+      return std::nullopt;
+    ports::Call call = std::move(*found);
     pending_.erase(found);
+    return call;
+  }
+  // Whether a request whose path begins so was pending; it gets the reply.
+  bool answer(const std::string& path, int status, const wire::Value& body) {
+    const auto call = take(path);
+    if (!call)
+      return false;
     ports::Reply reply;
     reply.status = status;
     reply.body = body;
-    out_.complete(id, reply);
+    out_.complete(call->id, reply);
     return true;
   }
+  void pass_time(Seconds duration) {
+    out_.set_now(out_.now() + duration);
+    out_.run_timers();
+  }
   static wire::Value leader_key(std::uint64_t version) {
     return {{"path", "lead"}, {"data", {{"node", "node-1"}, {"lease", kLease}}}, {"stamp", version}};
   }
@@ -60,6 +68,27 @@
   int losses_ = 0, unknown_tokens_ = 0;
 };
 
+// Lease 0 was taken for no lease, so the key outlived its leader and nobody led after it.
+TEST_F(LeaderElectionTest, ALeaderKeyUnderLeaseZeroDoesNotOutliveItsLeader) {
+  ASSERT_TRUE(answer("/kv/lead", 404, {{"ledgerRev", kToken - 2}}));
+  ASSERT_TRUE(answer("/leases", 200, {{"permit", 0}}));
+  const auto campaign = take("/txn");
+  ASSERT_TRUE(campaign.has_value());
+  const wire::Value& put = campaign->body["apply"][0];
+  ASSERT_TRUE(put.contains("permit")) << "the leader key must be attached to its lease";
+  EXPECT_EQ(put["permit"], 0);
+}
+
+// A leader.
+class HigherTokenTest : public LeaderElectionTest {
+ protected:
+  HigherTokenTest() {
+    answer("/kv/lead", 404, {{"ledgerRev", kToken - 2}});
+    answer("/leases", 200, {{"permit", kLease}});
+    answer("/txn", 200, {{"ledgerRev", kToken}});
+  }
+};
+
 TEST_F(HigherTokenTest, ATokenThatNoLeaderHeldDoesNotEndTheLeadership) {
   ASSERT_TRUE(election_.may_act());
   report_higher_token();
