--- a/src/controller/leader_clock.cpp
+++ b/src/controller/leader_clock.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "delegation/clock_drift.hpp"
+#include "ports/clock_drift.hpp"
 
 namespace wingtrail::controller {
 
@@ -26,7 +26,7 @@
   if (!dated_reply_ || dated_reply_->fencing_token != frame.leader_fencing_token)
     return std::nullopt;
   const double aged_s = frame.process_age_s - dated_reply_->process_age_s;
-  const double drift = aged_s >= 0 ? -delegation::kMaxClockDrift : delegation::kMaxClockDrift;
+  const double drift = aged_s >= 0 ? -ports::kMaxClockDrift : ports::kMaxClockDrift;
   return dated_reply_->request_sent + aged_s * (1 + drift);
 }
 
--- a/src/delegation/delegation_ledger.cpp
+++ b/src/delegation/delegation_ledger.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "delegation/clock_drift.hpp"
+#include "ports/clock_drift.hpp"
 
 namespace wingtrail::delegation {
 namespace {
@@ -33,12 +33,12 @@
   // The present process of the peer reports only its own last renewal. Earlier ones may have renewed leases
   // until it began.
   const Seconds process_began_at =
-      now - (statement.supports_delegation ? statement.process_age_s * (1 - kMaxClockDrift) : 0);
+      now - (statement.supports_delegation ? statement.process_age_s * (1 - ports::kMaxClockDrift) : 0);
   if (process_began_at > peer.stated_at)
     peer.last_renewal_at = std::max(peer.last_renewal_at, std::min(process_began_at, peer.delegated_until));
   if (statement.since_last_renewal_s >= 0) {
     peer.last_renewal_at =
-        std::max(peer.last_renewal_at, now - statement.since_last_renewal_s * (1 - kMaxClockDrift));
+        std::max(peer.last_renewal_at, now - statement.since_last_renewal_s * (1 - ports::kMaxClockDrift));
   }
   peer.stated_at = std::max(peer.stated_at, sent);
   // The peer now knows of this leadership, so grants of earlier leaders are void.
@@ -60,7 +60,7 @@
 }
 
 Seconds DelegationLedger::lease_expiry_after_renewal(Seconds renewed_at) const {
-  return renewed_at + worker_lease_s_ * (1 + kMaxClockDrift) + kWorkerTimerMargin;
+  return renewed_at + worker_lease_s_ * (1 + ports::kMaxClockDrift) + kWorkerTimerMargin;
 }
 
 }  // namespace wingtrail::delegation
--- a/src/delegation/lease_delegate.cpp
+++ b/src/delegation/lease_delegate.cpp
@@ -2,14 +2,14 @@
 
 #include <algorithm>
 
-#include "delegation/clock_drift.hpp"
+#include "ports/clock_drift.hpp"
 
 namespace wingtrail::delegation {
 
 // Returns how long this controller may rely on a period of `duration_s` seconds that another controller
 // measures by its own clock.
 Seconds LeaseDelegate::effective_duration(Seconds duration_s) const {
-  return std::min(duration_s_, duration_s) * (1 - kMaxClockDrift);
+  return std::min(duration_s_, duration_s) * (1 - ports::kMaxClockDrift);
 }
 
 void LeaseDelegate::on_grant(std::uint64_t token, Seconds sent, Seconds duration_s) {
--- a/src/leadership/leader_election.cpp
+++ b/src/leadership/leader_election.cpp
@@ -4,12 +4,12 @@
 
 #include <algorithm>
 
+#include "ports/clock_drift.hpp"
 #include "wire/state_messages.hpp"
 
 namespace wingtrail::leadership {
 namespace {
-constexpr double kMaxClockDrift = 0.0005;  // PROTOCOL: steady clocks drift by up to 0.05 %
-constexpr Seconds kTimerMargin = 0.05;     // timers and the clock have a resolution of a few milliseconds
+constexpr Seconds kTimerMargin = 0.05;  // timers and the clock have a resolution of a few milliseconds
 constexpr Seconds kRetryDelay = 0.3;
 constexpr double kRenewalsPerLease = 4;
 constexpr double kRetriesPerLease = 12;  // after a renewal without reply
@@ -46,8 +46,7 @@
 }
 
 Seconds LeaderElection::lease_expiry(Seconds sent) const {
-  // This controller's clock and the state service's may both drift.
-  return sent + settings_.tunables.leader_lease_s * (1 - 2 * kMaxClockDrift) - kTimerMargin;
+  return sent + settings_.tunables.leader_lease_s * (1 - ports::kMaxClockDrift) - kTimerMargin;
 }
 
 void LeaderElection::observe_leader(const std::string& leader, std::uint64_t token) {
--- a/src/workers/worker_manager.cpp
+++ b/src/workers/worker_manager.cpp
@@ -7,13 +7,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "ports/clock_drift.hpp"
 #include "workers/resources.hpp"
 
 namespace wingtrail::workers {
 namespace {
-// Maximum drift between two clocks, as a share of the elapsed time: the controller's and the worker's clock
-// may each drift by 0.05 %, in opposite directions.
-constexpr double kMaxClockDrift = 0.001;
 // A worker notices the end of its lease with a delay, as its timers advance in steps.
 constexpr Seconds kWorkerTimerMargin = 0.5;
 }  // namespace
@@ -41,7 +39,7 @@
 }
 
 Seconds WorkerManager::worker_lease_expiry(Seconds renewed_at) const {
-  return renewed_at + settings_.worker_lease_s * (1 + kMaxClockDrift) + kWorkerTimerMargin;
+  return renewed_at + settings_.worker_lease_s * (1 + ports::kMaxClockDrift) + kWorkerTimerMargin;
 }
 
 void WorkerManager::end_leadership() {
--- a/tests/delegation_test.cpp
+++ b/tests/delegation_test.cpp
@@ -8,10 +8,10 @@
 #include <memory>
 #include <pcg_random.hpp>
 
-#include "delegation/clock_drift.hpp"
 #include "delegation/delegation_ledger.hpp"
 #include "delegation/lease_delegate.hpp"
 #include "delegation/strict_cancellation.hpp"
+#include "ports/clock_drift.hpp"
 #include "zones/zone_tracker.hpp"
 
 namespace wingtrail::delegation {
@@ -97,7 +97,7 @@
   }
   // Returns when a worker lease that controller i renews now has expired, by the clock of controller i.
   Seconds lease_expiry(std::size_t i) const {
-    return clock(i) + kWorkerLease * (1 + kMaxClockDrift) + kWorkerTimerMargin;
+    return clock(i) + kWorkerLease * (1 + ports::kMaxClockDrift) + kWorkerTimerMargin;
   }
   // Delivers the message after a delay, at the end of the partition between the two, or not at all.
   void send(std::size_t from, std::size_t to, std::function<void()> message) {
