A restarted controller revokes lease 0 of its earlier process

Cause: LeaderElection kept 0 for "no lease", of its own campaigns and in the value of the leader key.

Change: both are std::optional.

--- a/src/leadership/leader_election.cpp
+++ b/src/leadership/leader_election.cpp
@@ -134,7 +134,6 @@
 void LeaderElection::on_occupied(const wire::Item& item) {
   const LeaderKey key = LeaderKey::from(item);
   const std::string& holder = key.holder;
-  const std::uint64_t lease = key.named_lease.value_or(0);
   if (item.version > leader_fencing_token_ || (item.version == leader_fencing_token_ && leader_.empty())) {
     if (leader_ != holder)
       spdlog::info("election: leader changed leader={} token={}", holder, item.version);
@@ -142,11 +141,12 @@
   }
   if (holds_leadership_ && item.version != fencing_token_)
     step_down("another controller leads");
-  if (holder == settings_.node && !holds_leadership_ && !campaigning_ && lease != 0 && lease != lease_) {
+  if (holder == settings_.node && !holds_leadership_ && !campaigning_ && key.named_lease &&
+      key.named_lease != lease_) {
     // The key was written by an earlier process of this controller. That process has ended, so its lease can
     // be revoked instead of waiting until it expires.
-    spdlog::info("election: lease of an earlier process revoked lease={}", lease);
-    store_.revoke_lease(lease);
+    spdlog::info("election: lease of an earlier process revoked lease={}", *key.named_lease);
+    store_.revoke_lease(*key.named_lease);
   }
 }
 
@@ -219,7 +219,7 @@
 
 void LeaderElection::renew_lease() {
   const Seconds sent = out_.now();
-  store_.renew_lease(lease_, [this, sent, term = term_](const store::Reply& reply) {
+  store_.renew_lease(*lease_, [this, sent, term = term_](const store::Reply& reply) {
     if (!holds_leadership_ || term != term_)
       return;
     if (reply.status == 200) {
@@ -253,7 +253,7 @@
   if (!holds_leadership_)
     return;
   campaign_after_ = out_.now() + pause;
-  const std::uint64_t lease = lease_;
+  const std::uint64_t lease = *lease_;
   step_down(reason);
   store_.revoke_lease(lease);
 }
--- a/src/leadership/leader_election.hpp
+++ b/src/leadership/leader_election.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "leadership/leader_key.hpp"
@@ -126,7 +127,7 @@
   // This controller's leadership.
   bool holds_leadership_ = false;
   bool campaigning_ = false;
-  std::uint64_t lease_ = 0;  // of the state service, under which the leader key is held
+  std::optional<std::uint64_t> lease_;  // of the latest campaign; while leading, the leader key's lease
   std::uint64_t fencing_token_ = 0;
   std::uint64_t term_ = 0;  // incremented when this controller is elected or steps down; replies of an
                             // earlier term are ignored
--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -53,8 +53,15 @@
     out_.set_now(out_.now() + duration);
     out_.run_timers();
   }
-  static wire::Value leader_key(std::uint64_t version) {
-    return {{"path", "lead"}, {"data", {{"node", "node-1"}, {"lease", kLease}}}, {"stamp", version}};
+  // The answer to a read of the leader key.
+  static wire::Value leader_key(std::uint64_t version, const std::string& holder = "node-1",
+                                std::uint64_t named_lease = kLease,
+                                std::optional<std::uint64_t> attached_lease = kLease) {
+    wire::Value key{
+        {"path", "lead"}, {"data", {{"node", holder}, {"lease", named_lease}}}, {"stamp", version}};
+    if (attached_lease)
+      key["permit"] = *attached_lease;
+    return key;
   }
   void report_higher_token() {
     election_.on_higher_token([this] { ++unknown_tokens_; });
@@ -79,6 +86,14 @@
   EXPECT_EQ(put["permit"], 0);
 }
 
+// Lease 0 of an earlier process was not revoked, so nobody led until it expired.
+TEST_F(LeaderElectionTest, ARestartedControllerRevokesLeaseZeroOfItsEarlierProcess) {
+  ASSERT_TRUE(answer("/kv/lead", 200, leader_key(kToken, "node-1", 0, 0)));
+  const auto revocation = take("/leases/0");
+  ASSERT_TRUE(revocation.has_value()) << "the new process must not wait for the lease to expire";
+  EXPECT_EQ(revocation->method, "DELETE");
+}
+
 // A leader.
 class HigherTokenTest : public LeaderElectionTest {
  protected:
@@ -149,8 +164,7 @@
   void read_leader_key(std::uint64_t version, Seconds sent) {
     ports::Reply reply;
     reply.status = 200;
-    reply.body = leader_key(version);
-    reply.body["data"]["node"] = "node-2";
+    reply.body = leader_key(version, "node-2");
     election_.on_leader_key_read(reply, sent);
   }
 };
