A leader key that an older version left without a lease is removed

What callers saw: nothing yet. The version in production writes the key of a leader with lease 0 without its lease, too. A controller of this version beside it, or on its data, would find that key for ever: nobody leads after that leader.

Cause: the way out of a leader key was its lease alone, and nothing noticed that a key has none.

Measured, x86_64: DetachedLeaderKeyTest.* fail on the code before and pass.

--- a/src/leadership/leader_election.cpp
+++ b/src/leadership/leader_election.cpp
@@ -39,7 +39,11 @@
 
 LeaderElection::LeaderElection(ports::Outbox& out, store::StateClient& store,
                                const settings::Settings& settings, Events events)
-    : out_(out), store_(store), settings_(settings), events_(std::move(events)) {}
+    : out_(out),
+      store_(store),
+      settings_(settings),
+      events_(std::move(events)),
+      detached_key_remover_(out, store, settings) {}
 
 void LeaderElection::start() {
   read_leader_key();
@@ -67,6 +71,8 @@
   if (!item)
     return;
   leader_key_ = {LeaderKeyView::Presence::present, LeaderKey::from(*item)};
+  if (!holds_leadership_)
+    detached_key_remover_.on_key_read(leader_key_.key);
   const std::string& holder = leader_key_.key.holder;
   if (item->version == dropped_token_) {
     dropped_token_ = 0;
--- a/src/leadership/leader_election.hpp
+++ b/src/leadership/leader_election.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "leadership/detached_key_remover.hpp"
 #include "leadership/leader_key.hpp"
 #include "store/state_client.hpp"
 #include "wire/state_messages.hpp"
@@ -83,7 +84,7 @@
   /// Records a leader that a peer has reported. Ignored unless its token is higher than all known ones.
   void observe_leader(const std::string& leader, std::uint64_t token);
   /// Handles the reply to a read of the leader key. A higher token that was known before the read was sent is
-  /// dropped, because no leader has held it.
+  /// dropped, because no leader has held it. A key that another controller left without a lease is removed.
   void on_leader_key_read(const store::Reply& reply, Seconds sent);
   /// Gives up leadership, revokes the lease and does not campaign for `pause` seconds. Does nothing if this
   /// controller does not lead.
@@ -139,6 +140,7 @@
       -kConfirmationLifetime;  // when the last such read was sent that found this leader's key
 
   LeaderKeyView leader_key_;
+  DetachedKeyRemover detached_key_remover_;
   CampaignOutcome last_campaign_ = CampaignOutcome::none;
 
   // The latest leader known, which may be this controller.
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -204,9 +204,9 @@
        ports::kNever, std::move(then));
 }
 
-void StateClient::revoke_lease(std::uint64_t lease) {
+void StateClient::revoke_lease(std::uint64_t lease, Callback then) {
   send("DELETE", "/leases/" + std::to_string(lease), nullptr, 0, RequestPriority::lease, kLeaseTimeout,
-       ports::kNever, [](const Reply&) {});
+       ports::kNever, std::move(then));
 }
 
 }  // namespace wingtrail::store
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -72,7 +72,8 @@
   void read_changes(const std::string& prefix, std::uint64_t after, Callback then);
   void create_lease(int ttl_ms, Callback then);
   void renew_lease(std::uint64_t lease, Callback then);
-  void revoke_lease(std::uint64_t lease);
+  void revoke_lease(
+      std::uint64_t lease, Callback then = [](const Reply&) {});
 
   /// True if the service has replied to this controller within kHealthyWindow.
   bool healthy() const {
--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -94,6 +94,64 @@
   EXPECT_EQ(revocation->method, "DELETE");
 }
 
+// A leader of an older version wrote its key without its lease.
+class DetachedLeaderKeyTest : public LeaderElectionTest {
+ protected:
+  DetachedLeaderKeyTest() {
+    settings_.tunables.leader_lease_s = 3;
+    answer("/kv/lead", 200, leader_key(kToken, "node-2", 0, std::nullopt));
+    read_detached_key();
+    EXPECT_FALSE(take("/leases/0").has_value()) << "a single read may be wrong";
+  }
+  // A controller that does not lead reads the leader key regularly.
+  void read_key(const wire::Value& body) {
+    ports::Reply reply;
+    reply.status = 200;
+    reply.body = body;
+    election_.on_leader_key_read(reply, out_.now());
+  }
+  void read_detached_key() {
+    read_key(leader_key(kToken, "node-2", 0, std::nullopt));
+  }
+  bool erases_key() {
+    const auto transaction = take("/txn");
+    if (!transaction)
+      return false;
+    const wire::Value expected{{"if", {{{"path", "lead"}, {"stamp", kToken}}}},
+                               {"apply", {{{"delete", "lead"}}}}};
+    EXPECT_EQ(transaction->body, expected);
+    return true;
+  }
+};
+
+// Such a key outlived its leader, and nobody led after it.
+TEST_F(DetachedLeaderKeyTest, AKeyWithoutALeaseIsErasedOnceItsLeaderCannotAct) {
+  read_detached_key();
+  EXPECT_FALSE(erases_key()) << "its leader may still renew its lease";
+  ASSERT_TRUE(answer("/leases/0", 200, nullptr));
+  pass_time(2.9);
+  read_detached_key();
+  EXPECT_FALSE(erases_key()) << "its leader may act until its last renewal has expired";
+  pass_time(0.2);
+  read_detached_key();
+  EXPECT_TRUE(erases_key());
+}
+
+TEST_F(DetachedLeaderKeyTest, AKeyIsKeptWhileItsLeadersLeaseMayLast) {
+  read_detached_key();
+  ASSERT_TRUE(answer("/leases/0", 503, nullptr));
+  pass_time(10);
+  read_detached_key();
+  EXPECT_FALSE(erases_key()) << "a revocation that was not executed ends no lease";
+  EXPECT_TRUE(answer("/leases/0", 404, nullptr)) << "the revocation must be repeated";
+  pass_time(1);
+  read_key(leader_key(kToken + 1, "node-3", 5, 5));
+  pass_time(10);
+  read_key(leader_key(kToken + 1, "node-3", 5, 5));
+  EXPECT_FALSE(take("/txn").has_value()) << "the next leader's key has its lease";
+  EXPECT_FALSE(take("/leases/5").has_value());
+}
+
 // A leader.
 class HigherTokenTest : public LeaderElectionTest {
  protected:
