Changes that a watch reports are applied in the order of their versions

What callers saw: nothing yet. PROTOCOL does not say in which order /follow lists its events, and its example has the newest first. A follower that got a leader's end and its election in one answer, in that order, took the ended leader for the present one and did not campaign; if all did, nobody led until one of them restarted. BatchIndexFollower would likewise have kept a batch that was deleted.

Cause: the readers relied on "oldest first"; a missing version counted as 0.

Change: parse_changes sorts by version, and refuses an event without one: the key is then read again.

Measured, x86_64: LeaderElectionTest.ALeaderWhoseEndIsReportedBeforeItsElectionIsNotFollowed fails on the code before.

--- a/src/wire/state_messages.cpp
+++ b/src/wire/state_messages.cpp
@@ -1,5 +1,7 @@
 #include "wire/state_messages.hpp"
 
+#include <algorithm>
+
 #include "wire/field_names.hpp"
 #include "wire/parsing.hpp"
 
@@ -84,14 +86,19 @@
     const auto written = text(event, field::kPut);
     const auto erased = text(event, field::kDelete);
     const auto version = count(event, field::kVersion);
+    if (!version)
+      return malformed("malformed event");
     if (written && event.contains(field::kValue)) {
-      changes.events.push_back({false, *written, event[field::kValue], version.value_or(0)});
+      changes.events.push_back({false, *written, event[field::kValue], *version});
     } else if (erased) {
-      changes.events.push_back({true, *erased, nullptr, version.value_or(0)});
+      changes.events.push_back({true, *erased, nullptr, *version});
     } else {
       return malformed("malformed event");
     }
   }
+  // The protocol promises no order; its example has the newest change first.
+  std::stable_sort(changes.events.begin(), changes.events.end(),
+                   [](const Change& one, const Change& other) { return one.version < other.version; });
   return changes;
 }
 
--- a/src/wire/state_messages.hpp
+++ b/src/wire/state_messages.hpp
@@ -42,7 +42,7 @@
   std::string key;
   /// Its new value; null after a deletion.
   Value value;
-  /// Its new version; 0 if the event has none.
+  /// Its new version, or the revision of its deletion.
   std::uint64_t version = 0;
 };
 /// The answer to a watch: the changes up to a revision of the store.
@@ -91,7 +91,7 @@
 Result<Item> parse_item(const Value& map);
 /// Reads a page of keys.
 Result<Range> parse_range(const Value& map);
-/// Reads the answer to a watch.
+/// Reads the answer to a watch; a key's changes may stand in any order there.
 Result<Changes> parse_changes(const Value& map);
 
 /// The path of a key.
--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -94,6 +94,18 @@
   EXPECT_EQ(revocation->method, "DELETE");
 }
 
+// A reply that shows an election before the end of that leadership was taken for a present leader.
+TEST_F(LeaderElectionTest, ALeaderWhoseEndIsReportedBeforeItsElectionIsNotFollowed) {
+  ASSERT_TRUE(answer("/kv/lead", 404, {{"ledgerRev", kToken - 2}}));
+  ASSERT_TRUE(answer("/leases", 503, nullptr));
+  const wire::Value election{
+      {"put", "lead"}, {"data", {{"node", "node-2"}, {"lease", kLease}}}, {"stamp", kToken}};
+  const wire::Value end{{"delete", "lead"}, {"stamp", kToken + 1}};
+  ASSERT_TRUE(answer("/follow", 200, {{"ledgerRev", kToken + 1}, {"events", {end, election}}}));
+  EXPECT_EQ(election_.leader(), "");
+  EXPECT_TRUE(take("/leases").has_value()) << "the leader key is absent, so this controller must campaign";
+}
+
 // A leader of an older version wrote its key without its lease.
 class DetachedLeaderKeyTest : public LeaderElectionTest {
  protected:
