A campaign that failed is repeated whatever leader a peer reports

What callers saw: nothing yet. A controller that finds the leader key absent campaigns. If the state service did not grant it a lease, or did not answer, it tried again only while it knew no leader, and a late frame of a peer names the leader that has ended. It then never campaigned again: the watch of the key, too, read it again only while no leader was known. The last of three controllers would have stayed without a leader until another process started.

Cause: whether somebody leads was taken from what peers report, not from the leader key.

Change: a campaign that failed for another reason than an existing key is always followed by a read of the key, and a watch without changes by one if the key was last read as absent. campaign() is three functions now.

Measured, x86_64: LeaderElectionTest.ALateReportOfAnEndedLeaderDoesNotEndTheCampaigns fails on the code before.

--- a/src/leadership/leader_election.cpp
+++ b/src/leadership/leader_election.cpp
@@ -118,11 +118,13 @@
     const std::uint64_t next = std::max(after, changes->revision);
     if (last && last->deleted)
       on_vacant(next);
-    if (last && !last->deleted)
+    if (last && !last->deleted) {
+      leader_key_ = {};  // the change does not tell the key's lease
       on_occupied({last->key, last->value, last->version});
-    // The watch timed out without a change and no leader is known, for example after a campaign that failed:
+    }
+    // The watch timed out without a change and the key is absent, for example after a campaign that failed:
     // read the key again, which campaigns if the key is still absent.
-    if (!last && leader_.empty() && !holds_leadership_)
+    if (!last && leader_key_.presence == LeaderKeyView::Presence::absent && !holds_leadership_)
       return read_leader_key();
     watch_leader_key(next);
   });
@@ -165,38 +167,46 @@
     return;
   }
   campaigning_ = true;
-  const Seconds sent = out_.now();
   store_.create_lease(
-      static_cast<int>(settings_.tunables.leader_lease_s * 1000), [this, sent](const store::Reply& grant) {
-        const auto lease = grant.status == 200 ? wire::lease_id(grant.body) : std::nullopt;
-        if (!lease) {
-          campaigning_ = false;
-          last_campaign_ = CampaignOutcome::no_lease;
-          return out_.after(kRetryDelay, [this] {
-            if (leader_.empty())
-              read_leader_key();
-          });
-        }
-        lease_ = *lease;
-        wire::Transaction txn;
-        txn.require(kLeaderKey, 0).put(kLeaderKey, LeaderKey::value(settings_.node, *lease), *lease);
-        store_.transact(std::move(txn), store::RequestPriority::lease, lease_expiry(sent),
-                        [this, sent, lease](const store::Reply& reply) {
-                          campaigning_ = false;
-                          const auto revision = wire::revision(reply.body);
-                          if (reply.status == 200 && revision)
-                            return on_won(*lease, *revision, sent);
-                          last_campaign_ = reply.status == 409 ? CampaignOutcome::key_exists
-                                                               : CampaignOutcome::write_failed;
-                          // If a copy of the write is still in flight, it fails once the lease is revoked.
-                          store_.revoke_lease(*lease);
-                          if (reply.status != 409)
-                            out_.after(kRetryDelay, [this] {
-                              if (leader_.empty())
-                                read_leader_key();
-                            });
-                        });
-      });
+      static_cast<int>(settings_.tunables.leader_lease_s * 1000),
+      [this, sent = out_.now()](const store::Reply& reply) { on_campaign_lease(reply, sent); });
+}
+
+void LeaderElection::on_campaign_lease(const store::Reply& reply, Seconds sent) {
+  const auto lease = reply.status == 200 ? wire::lease_id(reply.body) : std::nullopt;
+  if (!lease) {
+    campaigning_ = false;
+    last_campaign_ = CampaignOutcome::no_lease;
+    return retry_campaign();
+  }
+  lease_ = *lease;
+  wire::Transaction txn;
+  txn.require(kLeaderKey, 0).put(kLeaderKey, LeaderKey::value(settings_.node, *lease), *lease);
+  store_.transact(std::move(txn), store::RequestPriority::lease, lease_expiry(sent),
+                  [this, sent, lease = *lease](const store::Reply& written) {
+                    on_campaign_written(written, lease, sent);
+                  });
+}
+
+void LeaderElection::on_campaign_written(const store::Reply& reply, std::uint64_t lease, Seconds lease_sent) {
+  campaigning_ = false;
+  const auto revision = wire::revision(reply.body);
+  if (reply.status == 200 && revision)
+    return on_won(lease, *revision, lease_sent);
+  const bool key_exists = reply.status == 409;
+  last_campaign_ = key_exists ? CampaignOutcome::key_exists : CampaignOutcome::write_failed;
+  // If a copy of the write is still in flight, it fails once the lease is revoked.
+  store_.revoke_lease(lease);
+  if (!key_exists)
+    retry_campaign();
+}
+
+// Whether another controller leads is read from the leader key: what a peer reports may be out of date.
+void LeaderElection::retry_campaign() {
+  out_.after(kRetryDelay, [this] {
+    if (!holds_leadership_)
+      read_leader_key();
+  });
 }
 
 void LeaderElection::on_won(std::uint64_t lease, std::uint64_t token, Seconds lease_sent) {
--- a/src/leadership/leader_election.hpp
+++ b/src/leadership/leader_election.hpp
@@ -112,6 +112,9 @@
   void on_occupied(const wire::Item& item);
   void set_leader(const std::string& leader, std::uint64_t token);
   void campaign();
+  void on_campaign_lease(const store::Reply& reply, Seconds sent);
+  void on_campaign_written(const store::Reply& reply, std::uint64_t lease, Seconds lease_sent);
+  void retry_campaign();
   void on_won(std::uint64_t lease, std::uint64_t token, Seconds lease_sent);
   void schedule_renewal(Seconds delay);
   void renew_lease();
--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -106,6 +106,16 @@
   EXPECT_TRUE(take("/leases").has_value()) << "the leader key is absent, so this controller must campaign";
 }
 
+// After a peer's late report of an ended leader, a campaign that failed was the last one.
+TEST_F(LeaderElectionTest, ALateReportOfAnEndedLeaderDoesNotEndTheCampaigns) {
+  ASSERT_TRUE(answer("/kv/lead", 404, {{"ledgerRev", kToken}}));
+  election_.observe_leader("node-2", kToken - 2);
+  ASSERT_TRUE(answer("/leases", 503, nullptr));
+  pass_time(1);
+  ASSERT_TRUE(answer("/kv/lead", 404, {{"ledgerRev", kToken}})) << "the leader key must be read again";
+  EXPECT_TRUE(take("/leases").has_value()) << "the leader key is absent, so this controller must campaign";
+}
+
 // A leader of an older version wrote its key without its lease.
 class DetachedLeaderKeyTest : public LeaderElectionTest {
  protected:
