One loop of watches follows the leader key

What callers saw: nothing.

Change: a read of the key that begins to follow it makes replies to earlier reads and watches void.

Measured, x86_64: LeaderElectionTest.AFailedCampaignLeavesNoSecondWatch fails on the code before.

--- a/src/leadership/leader_election.cpp
+++ b/src/leadership/leader_election.cpp
@@ -87,8 +87,12 @@
   set_leader(holder, item->version);
 }
 
+// Begins to follow the leader key anew, in place of what followed it until now.
 void LeaderElection::read_leader_key() {
-  store_.get(kLeaderKey, store::RequestPriority::lease, [this](const store::Reply& reply) {
+  const std::uint64_t following = ++following_;
+  store_.get(kLeaderKey, store::RequestPriority::lease, [this, following](const store::Reply& reply) {
+    if (following != following_)
+      return;
     if (const auto item = parse_leader_key(reply)) {
       leader_key_ = {LeaderKeyView::Presence::present, LeaderKey::from(*item)};
       on_occupied(*item);
@@ -104,7 +108,9 @@
 }
 
 void LeaderElection::watch_leader_key(std::uint64_t after) {
-  store_.watch(kLeaderKey, after, [this, after](const store::Reply& reply) {
+  store_.watch(kLeaderKey, after, [this, after, following = following_](const store::Reply& reply) {
+    if (following != following_)
+      return;
     if (reply.status != 200)
       return out_.after(kRetryDelay, [this] { read_leader_key(); });
     auto changes = wire::parse_changes(reply.body);
--- a/src/leadership/leader_election.hpp
+++ b/src/leadership/leader_election.hpp
@@ -143,6 +143,7 @@
       -kConfirmationLifetime;  // when the last such read was sent that found this leader's key
 
   LeaderKeyView leader_key_;
+  std::uint64_t following_ = 0;  // counts the reads that began to follow the key; earlier ones are ignored
   DetachedKeyRemover detached_key_remover_;
   CampaignOutcome last_campaign_ = CampaignOutcome::none;
 
--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -116,6 +116,18 @@
   EXPECT_TRUE(take("/leases").has_value()) << "the leader key is absent, so this controller must campaign";
 }
 
+// Each campaign that failed left one more loop of watches.
+TEST_F(LeaderElectionTest, AFailedCampaignLeavesNoSecondWatch) {
+  ASSERT_TRUE(answer("/kv/lead", 404, {{"ledgerRev", kToken}}));
+  ASSERT_TRUE(answer("/leases", 503, nullptr));
+  pass_time(1);
+  ASSERT_TRUE(answer("/kv/lead", 200, leader_key(kToken + 1, "node-2")));
+  ASSERT_TRUE(answer("/follow", 200, {{"ledgerRev", kToken + 1}, {"events", wire::Value::array()}}))
+      << "the first watch is still open";
+  ASSERT_TRUE(take("/follow").has_value()) << "the second watch goes on";
+  EXPECT_FALSE(take("/follow").has_value()) << "the first watch must not be repeated";
+}
+
 // A leader of an older version wrote its key without its lease.
 class DetachedLeaderKeyTest : public LeaderElectionTest {
  protected:
