--- a/src/controller/controller.cpp
+++ b/src/controller/controller.cpp
@@ -372,9 +372,13 @@
   out_.after(kStatusInterval, [this] { probe_state_service(); });
 }
 
+// A version without delegated renewal does not tell whether it answers heartbeats.
 bool Controller::knows_active_leader() const {
+  if (is_active_leader())
+    return true;
   const auto leader = peers_.reachable_leader(election_.leader());
-  return is_active_leader() || (leader && peers_[*leader].answers_heartbeats);
+  return leader &&
+         (peers_[*leader].answers_heartbeats || peers_[*leader].level.value_or(0) < peer::kLevelDelegation);
 }
 
 void Controller::run_periodic_tasks() {
