A cancellation waits for stops that a slow message delays

What callers saw: without any fault a cancellation is answered 503 and confirmed only at the user's retry.

Cause: the leader waits 0.5 s until all stops are reported.

Change: the wait is 1.5 s. Debug lines tell why a cancellation is put off.

--- a/src/controller/job_cancellation.cpp
+++ b/src/controller/job_cancellation.cpp
@@ -1,5 +1,7 @@
 #include "controller/job_cancellation.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <memory>
 #include <string_view>
 #include <utility>
@@ -10,7 +12,9 @@
 namespace wingtrail::controller {
 namespace {
 constexpr Seconds kLeaderTimeout = 3.0;
-constexpr Seconds kMaxStopWait = 0.5;    // responsive workers stop a job's tasks within this time
+// Responsive workers stop a job's tasks within this time: a command and its reply may each take several
+// hundred ms. With kMaxRecordWait it is less than kLeaderTimeout.
+constexpr Seconds kMaxStopWait = 1.5;
 constexpr Seconds kMaxRecordWait = 1.0;  // recording takes longer only while the write budget is scarce
 }  // namespace
 
@@ -160,6 +164,9 @@
   }
   if (pending.origin && collaborators_.outbox.now() >= pending.defer_at) {
     ++deferred_count_;
+    spdlog::debug("cancellation: deferred ref={} placed_tasks={} stray_instance={} active_leader={}",
+                  job->spec.ref, job->placed_tasks, collaborators_.workers.has_stray_instance(job->spec.ref),
+                  callbacks_.is_active_leader());
     collaborators_.responder.try_later(*pending.origin);
     return false;
   }
@@ -175,8 +182,10 @@
     then = [this, answered, origin = *origin, ref = job.spec.ref] {
       if (std::exchange(*answered, true))
         return;
-      if (!collaborators_.queries.answer_final(origin, ref, ReplyDetail::state))
-        collaborators_.responder.try_later(origin);
+      if (collaborators_.queries.answer_final(origin, ref, ReplyDetail::state))
+        return;
+      spdlog::debug("cancellation: deferred until its final state is recorded ref={}", ref);
+      collaborators_.responder.try_later(origin);
     };
     collaborators_.outbox.after(kMaxRecordWait, then);
   }
--- a/src/controller/job_cancellation.hpp
+++ b/src/controller/job_cancellation.hpp
@@ -47,7 +47,7 @@
   void cancel(jobs::Job& job);
   /// As the leader: handles the cancellation marker with that key.
   void on_marker(const std::string& key);
-  /// Records the cancellations whose tasks are gone, and asks users who have waited for 0.5 s to retry.
+  /// Records the cancellations whose tasks are gone, and asks users who have waited too long to retry.
   void process_pending();
   /// Asks all waiting users to retry, since the leadership has ended.
   void end_leadership();
--- a/src/simulation/users.cpp
+++ b/src/simulation/users.cpp
@@ -1,4 +1,6 @@
 // Users: their submissions, queries and cancellations, and the checks of the answers.
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <cstdio>
 
@@ -325,6 +327,8 @@
       if (answer.status == 404)
         return report_violation("forgotten", job.spec.ref + " by abort");
       run_report_.cancellations_deferred += answer.status != 200;
+      spdlog::debug("simulation: cancellation answered t={:.3f} ref={} status={}", now_, job.spec.ref,
+                    answer.status);
       if (answer.status != 200)
         return;
       job.cancelled = true;
