One comparison of resources, and one search of a job's failures on a machine

fits() stood in RoomPlan, in Machine and in the validation of submissions; it is workers::is_within now. A job's failures on a machine are looked up by Job::find_failures alone. scale_out_for_room.cpp included <cmath> without need.

--- a/src/autoscaling/room_plan.cpp
+++ b/src/autoscaling/room_plan.cpp
@@ -2,21 +2,12 @@
 
 #include <algorithm>
 
-namespace wingtrail::autoscaling {
-namespace {
-
-constexpr double kRoundingTolerance = 1e-6;  // cores, GPUs or GB
-
-bool fits(const wire::Resources& task, const wire::Resources& free) {
-  return task.cpus <= free.cpus + kRoundingTolerance && task.gpus <= free.gpus + kRoundingTolerance &&
-         task.memory_gb <= free.memory_gb + kRoundingTolerance;
-}
-
-}  // namespace
+#include "workers/resources.hpp"
 
+namespace wingtrail::autoscaling {
 std::optional<std::size_t> RoomPlan::position(const wire::Resources& task, const Admits& admits) const {
   const auto found = std::find_if(rooms_.begin(), rooms_.end(), [&](const MachineRoom& room) {
-    return fits(task, room.free) && admits(room);
+    return workers::is_within(task, room.free) && admits(room);
   });
   if (found == rooms_.end())
     return std::nullopt;
@@ -33,9 +24,7 @@
   if (!found)
     return nullptr;
   MachineRoom& room = rooms_[*found];
-  room.free.cpus -= task.cpus;
-  room.free.gpus -= task.gpus;
-  room.free.memory_gb -= task.memory_gb;
+  workers::add_resources(room.free, task, -1);
   return &room;
 }
 
--- a/src/autoscaling/scale_out_for_room.cpp
+++ b/src/autoscaling/scale_out_for_room.cpp
@@ -2,7 +2,6 @@
 // free in total: for want of memory, or because the machines with room are of a kind or zone that the job may
 // not use.
 #include <algorithm>
-#include <cmath>
 
 #include "autoscaling/autoscaler.hpp"
 #include "wire/job_messages.hpp"
@@ -73,8 +72,11 @@
   if (!filters::placement_allowed(job, room.pool.type, room.pool.zone, room.pool.spot) ||
       !scheduler_.filters().zones().admits_zone(room.pool.zone, job))
     return false;
-  return !room.machine || ((!room.machine->short_only || !scheduler_.is_long(job)) &&
-                           job.failures_on(room.machine->index) < kFailuresWithoutRoom);
+  if (!room.machine)
+    return true;
+  const jobs::MachineFailures* failures = job.find_failures(room.machine->index);
+  const bool fails_there = failures && failures->count >= kFailuresWithoutRoom;
+  return !fails_there && !(room.machine->short_only && scheduler_.is_long(job));
 }
 
 // The jobs that wait for a machine: services first, each group by how long its jobs have waited.
--- a/src/controller/job_validation.cpp
+++ b/src/controller/job_validation.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "workers/resources.hpp"
+
 namespace wingtrail::controller {
 namespace {
 constexpr double kRoundingError = 1e-6;
@@ -11,9 +13,7 @@
     return false;
   if (spec.zone && std::find(type.zones.begin(), type.zones.end(), *spec.zone) == type.zones.end())
     return false;
-  return spec.task_resources.cpus <= type.cpus + kRoundingError &&
-         spec.task_resources.gpus <= type.gpus + kRoundingError &&
-         spec.task_resources.memory_gb <= type.memory_gb + kRoundingError;
+  return workers::is_within(spec.task_resources, {type.cpus, type.gpus, type.memory_gb});
 }
 }  // namespace
 
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -111,18 +111,23 @@
   bool is_open() const {
     return !final_state_pending && !final_state_recorded;
   }
-  /// Number of times that a task failed on the machine while the machine was not excluded.
-  unsigned failures_on(MachineIndex machine) const {
+  /// The failures of its tasks on the machine; null if there were none.
+  const MachineFailures* find_failures(MachineIndex machine) const {
     const auto known =
         std::find_if(failed_machines.begin(), failed_machines.end(),
                      [machine](const MachineFailures& failures) { return failures.machine == machine; });
-    return known == failed_machines.end() ? 0 : known->count;
+    return known == failed_machines.end() ? nullptr : &*known;
+  }
+  /// The same, to be changed; an entry is added if there were none.
+  MachineFailures& failures_on(MachineIndex machine) {
+    const MachineFailures* known = find_failures(machine);
+    return known ? failed_machines[static_cast<std::size_t>(known - failed_machines.data())]
+                 : failed_machines.emplace_back(MachineFailures{machine});
   }
   /// Whether a task failed on the machine so lately that no task of the job is started there now.
   bool excludes(MachineIndex machine, Seconds now) const {
-    return std::any_of(failed_machines.begin(), failed_machines.end(), [&](const MachineFailures& failures) {
-      return failures.machine == machine && now < failures.excluded_until;
-    });
+    const MachineFailures* failures = find_failures(machine);
+    return failures && now < failures->excluded_until;
   }
   /// True if none of its tasks may be started here.
   bool is_held() const {
--- a/src/scheduling/task_failures.cpp
+++ b/src/scheduling/task_failures.cpp
@@ -23,17 +23,10 @@
   return std::min(kMaxExclusion, kFirstExclusion * failures);
 }
 
-jobs::MachineFailures& failures_on(Job& job, MachineIndex machine) {
-  auto& list = job.failed_machines;
-  const auto known =
-      std::find_if(list.begin(), list.end(), [machine](const auto& f) { return f.machine == machine; });
-  return known != list.end() ? *known : list.emplace_back(jobs::MachineFailures{machine});
-}
-
 // Tasks that fail on a machine at about the same time count as one failure.
 void record_failure(Job& job, MachineIndex machine, Seconds now) {
   ++job.error_count;
-  jobs::MachineFailures& failures = failures_on(job, machine);
+  jobs::MachineFailures& failures = job.failures_on(machine);
   if (now < failures.excluded_until)
     return;
   ++failures.count;
--- a/src/workers/machine.hpp
+++ b/src/workers/machine.hpp
@@ -13,6 +13,7 @@
 #include "wire/job_messages.hpp"
 #include "wire/worker_messages.hpp"
 #include "workers/allocation.hpp"
+#include "workers/resources.hpp"
 
 namespace wingtrail::workers {
 
@@ -170,10 +171,9 @@
   }
   /// Whether the machine's free capacity is sufficient for `need`.
   bool fits(const wire::Resources& need) const {
-    constexpr double kRoundingTolerance = 1e-6;
-    return used.cpus + need.cpus <= cpus + kRoundingTolerance &&
-           used.gpus + need.gpus <= gpus + kRoundingTolerance &&
-           used.memory_gb + need.memory_gb <= memory_gb + kRoundingTolerance;
+    wire::Resources total = used;
+    add_resources(total, need, 1);
+    return is_within(total, {cpus, gpus, memory_gb});
   }
 };
 
