Leader election tests: requests are matched by their whole path again

The path is compared as a whole again; only the query of a watch, which no older test matched, is left out. No assertion changed.

--- a/tests/leader_election_test.cpp
+++ b/tests/leader_election_test.cpp
@@ -26,19 +26,20 @@
     election_.start();
   }
 
-  // Takes the oldest pending request whose path begins so.
+  // Takes the oldest pending request with this path, without its query.
   std::optional<ports::Call> take(const std::string& path) {
     for (ports::Action& action : out_.drain())
       pending_.push_back(std::get<ports::Call>(std::move(action)));
-    const auto found = std::find_if(pending_.begin(), pending_.end(),
-                                    [&path](const ports::Call& call) { return call.path.starts_with(path); });
+    const auto found = std::find_if(pending_.begin(), pending_.end(), [&path](const ports::Call& call) {
+      return call.path.substr(0, call.path.find('?')) == path;
+    });
     if (found == pending_.end())
       return std::nullopt;
     ports::Call call = std::move(*found);
     pending_.erase(found);
     return call;
   }
-  // Whether a request whose path begins so was pending; it gets the reply.
+  // Whether such a request was pending; it gets the reply.
   bool answer(const std::string& path, int status, const wire::Value& body) {
     const auto call = take(path);
     if (!call)
