Mutants: copy deploy/, without which a unit test failed for every mutant

CellSettings.TheExampleIsValidAndTheDeployedSettingsHaveNoCells reads deploy/, which the copy of the tree lacked.

--- a/tests/mutants.sh
+++ b/tests/mutants.sh
@@ -15,7 +15,7 @@
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
 mkdir -p "$work/tree"
-cp -r CMakeLists.txt src tests "$work/tree/"
+cp -r CMakeLists.txt deploy src tests "$work/tree/"
 cp -r src "$work/pristine"
 cmake -S "$work/tree" -B "$work/build" -DCMAKE_BUILD_TYPE=Release >/dev/null
 
